--- /dev/null
+++ b/dunlinlug/__init__.py
@@ -0,0 +1,1 @@
+"""dunlinlug, a traffic director for fleets of sidecar proxies."""
--- /dev/null
+++ b/dunlinlug/balance.py
@@ -0,0 +1,567 @@
+"""All decisions of a manager: which worker each proxy may use, at what share, and when orders go out.
+
+Call `Balancer(trade)` once at the start of an instance, then `decide(now, events)` for each batch, with the
+clock in float seconds; it returns the orders in the order in which they are to take effect. Events, orders and
+what is read at start are plain types in `dunlinlug/interface.py`. The module reads no clock and does no I/O.
+
+Inside, events change what is known; `_plan` turns that into a wanted state (who is out, which table each product
+should be on, what is asked and timed); `_emit` alone works out the difference to the present state and orders it.
+`docs/design.md` tells how this follows CCU, the concurrent two-phase update, and where it departs from it.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from dunlinlug.interface import (
+    Admit,
+    Answered,
+    Asked,
+    Bind,
+    Channel,
+    Clear,
+    Event,
+    Follow,
+    Joined,
+    Left,
+    Listed,
+    Mark,
+    Met,
+    Note,
+    Order,
+    Probe,
+    Probed,
+    Product,
+    Rung,
+    Share,
+    Trade,
+    Wake,
+    Withdraw,
+    Worker,
+)
+
+LONG_AGO = float("-inf")
+NEVER = float("inf")
+
+
+class Fleet:
+    """The listed workers, in parallel arrays under an index that a worker keeps for good."""
+
+    def __init__(self, warm_after: float) -> None:
+        self.warm_after = warm_after
+        self.index: dict[str, int] = {}
+        self.ids: list[str] = []
+        self.zones: list[str] = []
+        self.ready: list[bool] = []
+        self.gone: list[bool] = []
+        self.weight: list[float | None] = []
+        self.since: list[float] = []
+
+    def fold(self, news: Listed) -> list[int]:
+        """Take in news of the list; tells which workers have a new start or are new."""
+        if news.form == "failed":
+            return []
+        named = {entry.id for entry in news.workers}
+        if news.form != "changes":
+            for i, name in enumerate(self.ids):
+                if name not in named:
+                    self.ready[i], self.gone[i] = False, True
+        return [i for entry in news.workers if (i := self._entry(entry)) is not None]
+
+    def _entry(self, entry: Worker) -> int | None:
+        i = self.index.setdefault(entry.id, len(self.ids))
+        fresh = i == len(self.ids)
+        if fresh:
+            for column in (self.ids, self.zones, self.ready, self.gone, self.weight, self.since):
+                column.append(None)
+            self.ids[i], self.since[i] = entry.id, LONG_AGO
+        since = LONG_AGO if entry.since is None else entry.since
+        fresh = fresh or since > self.since[i]
+        self.zones[i], self.weight[i], self.since[i] = entry.zone, entry.weight, max(since, self.since[i])
+        self.ready[i], self.gone[i] = entry.state == "ready", entry.state != "ready"
+        return i if fresh else None
+
+    def listed_weight(self) -> dict[int, float]:
+        """The weight of each ready worker: as listed, or the average where the list tells none."""
+        told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w is not None and w > 0]
+        usual = sum(told) / len(told) if told else 1.0
+        return {i: self.weight[i] or usual for i, ready in enumerate(self.ready) if ready}
+
+
+class Account:
+    """The channel account: how many lines may still wait, by what has been ordered and what answers show."""
+
+    SAMPLE = 0.1  # seconds of usual drain below which an answer's time is mostly the way, not the channel
+    SLOWEST = 0.1  # of the usual pace; below this an estimate would stop ordinary orders altogether
+
+    def __init__(self, channel: Channel) -> None:
+        self.channel = channel
+        self.rate = channel.lines_per_s
+        self.issued = 0.0  # lines ordered since the start
+        self.left = 0.0  # of these, surely out of the channel
+        self.sent: dict[int, Sent] = {}  # marks whose answers are awaited, oldest first
+        self.written: dict[int, deque[float]] = {}  # when each joined proxy was written a message
+
+    def waiting(self) -> float:
+        return self.issued - self.left
+
+    def delay(self) -> float:
+        """How long what is ordered now will take to be answered, about."""
+        return self.waiting() / self.rate + 2 * self.channel.transit
+
+    def messages_left(self, proxy: int, now: float) -> int:
+        if not self.channel.messages_most:
+            return 1 << 30
+        times = self.written.setdefault(proxy, deque())
+        while times and times[0] <= now - self.channel.messages_span - 0.05:
+            times.popleft()
+        return self.channel.messages_most - len(times)
+
+    def book(self, number: int, now: float, lines: dict[int, float]) -> None:
+        start, before = self.issued, self.left
+        self.issued += sum(lines.values())
+        self.sent[number] = Sent(now, start, self.issued, before, set(lines))
+        for proxy in lines:
+            self.written.setdefault(proxy, deque()).append(now)
+
+    def answered(self, proxy: int, number: int, took: float) -> None:
+        if number not in self.sent:
+            return
+        self.left = max(self.left, self.sent[number].start)
+        for earlier in list(self.sent):
+            self._settle(earlier, proxy, took if earlier == number else None)
+            if earlier == number:
+                break
+
+    def forget(self, proxy: int) -> None:
+        self.written.pop(proxy, None)
+        for number in list(self.sent):
+            self._settle(number, proxy, None)
+
+    def _settle(self, number: int, proxy: int, took: float | None) -> None:
+        sent = self.sent[number]
+        sent.awaited.discard(proxy)
+        if sent.awaited:
+            return
+        del self.sent[number]
+        self.left = max(self.left, sent.end)
+        lines = sent.end - sent.left
+        if took is not None and lines >= self.SAMPLE * self.channel.lines_per_s:
+            seen = lines / max(took - self.channel.transit, 0.001)
+            blend = (self.rate + seen) / 2
+            self.rate = min(max(blend, self.SLOWEST * self.channel.lines_per_s), self.channel.lines_per_s)
+
+
+@dataclass
+class Sent:
+    """One reply's messages: when, which stretch of the channel's lines, and who has yet to answer."""
+
+    at: float
+    start: float
+    end: float
+    left: float
+    awaited: set[int]
+
+
+class Health:
+    """Judges workers by what proxies met, in contrast to the other workers."""
+
+    HALF = 1.5  # seconds in which evidence loses half its weight: two or three report cycles
+    VOIDED = 3.0  # voided tries before a worker is judged: fewer happen by chance
+    SICK = 0.4  # voided part of the tries at which a worker is withdrawn ...
+    CONTRAST = 3.0  # ... if it is also this many times the others' part, so that overload withdraws none
+    CEILING = 0.4  # of the ready weight may be out by health: a lost zone of three, not more
+    REST = 5.0  # seconds out before the first trial; doubled after each that fails ...
+    REST_MOST = 20.0  # ... up to this, about the longest trouble seen
+
+    def __init__(self, random: Random) -> None:
+        self.uniform = random.uniform
+        self.tries: list[float] = []
+        self.voided: list[float] = []
+        self.heard_at: list[float] = []
+        self.until: list[float] = []  # out until then; LONG_AGO: not out
+        self.trial: list[float] = []  # when the last trial began
+        self.rest: list[float] = []
+
+    def grow(self, size: int) -> None:
+        while len(self.tries) < size:
+            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.heard_at, 0.0),
+                                  (self.until, LONG_AGO), (self.trial, LONG_AGO), (self.rest, self.REST)):
+                column.append(start)
+
+    def reset(self, i: int) -> None:
+        self.tries[i] = self.voided[i] = 0.0
+        self.until[i] = self.trial[i] = LONG_AGO
+        self.rest[i] = self.REST
+
+    def met(self, i: int, now: float, tries: int, voided: int) -> None:
+        fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
+        self.heard_at[i] = now
+        self.tries[i] = self.tries[i] * fade + tries
+        self.voided[i] = self.voided[i] * fade + voided
+
+    def out(self, i: int) -> bool:
+        return self.until[i] > LONG_AGO
+
+    def judge(self, now: float, weight: dict[int, float]) -> None:
+        """Withdraw the worst first, as far as the ceiling lets it."""
+        out = sum(w for i, w in weight.items() if self.out(i))
+        most = self.CEILING * sum(weight.values())
+        inside = [i for i in weight if not self.out(i)]
+        all_tries, all_voided = sum(self.tries[i] for i in inside), sum(self.voided[i] for i in inside)
+        for i in sorted(inside, key=lambda i: -self.voided[i]):
+            if self.voided[i] < self.VOIDED or out + weight[i] > most:
+                continue
+            part = self.voided[i] / self.tries[i]
+            others = (all_voided - self.voided[i]) / max(all_tries - self.tries[i], 1.0)
+            if part >= self.SICK and part >= self.CONTRAST * others:
+                self.until[i] = now + self.rest[i] * self.uniform(1.0, 1.2)
+                self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
+                out += weight[i]
+                all_tries, all_voided = all_tries - self.tries[i], all_voided - self.voided[i]
+
+    def begin_trial(self, i: int, now: float) -> None:
+        self.until[i], self.trial[i] = LONG_AGO, now
+        self.tries[i] = self.voided[i] = 0.0
+
+
+@dataclass(eq=False)
+class Table:
+    """A table under its number: each worker's share, and that share's part of the listed weight."""
+
+    number: int
+    shares: dict[int, float]
+    parts: dict[int, float]
+    retry: int
+    laid: bool = False
+    clear_at: float = NEVER
+
+
+@dataclass(eq=False)
+class Change:
+    """One product's staged change: laid and asked, ready, bound and asked, cleared."""
+
+    version: int
+    table: Table
+    old: Table
+    awaited: set[int]
+    asked: int | None = None  # the mark of the first asking
+    asked_at: float = 0.0
+    bound: bool = False
+    answered_at: float = NEVER
+
+    def ready(self) -> bool:
+        return self.bound or (self.asked is not None and not self.awaited)
+
+
+@dataclass(eq=False)
+class Proxy:
+    """A joined proxy: for each product the tables it may be using, newest last, with the mark that ends doubt."""
+
+    holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
+    bound_at: float = LONG_AGO
+
+
+class Balancer:
+    """One manager's decisions."""
+
+    WINDOW = 4  # versions: the paper's four status bits
+    SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
+    LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
+    RAISE = 5.0  # seconds between a fresh worker's quarter steps: the design's start value
+    STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
+    TURN = 0.5  # seconds of drain that ordinary orders may have waiting: a turn's budget
+    KEPT_BACK = 0.4  # of the lines that may wait, kept for withdrawals and joins
+    KEPT_MESSAGES = 10  # messages for each proxy in the span that ordinary changes leave to withdrawals and joins
+
+    def __init__(self, trade: Trade) -> None:
+        random = Random(trade.seed)
+        self.uniform = random.uniform
+        self.products: tuple[Product, ...] = trade.products
+        self.retry = [self._retry(product, trade.usual_retry) for product in trade.products]
+        self.usual_retry = trade.usual_retry
+        self.must_ask, self.ask_every = trade.must_ask, trade.duties.ask_every
+        self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
+        self.fleet = Fleet(trade.duties.warm_after)
+        self.account = Account(trade.channel)
+        self.health = Health(random)
+        self.proxies: dict[int, Proxy] = {}
+        self.current: dict[int, Table] = {}
+        self.changes: dict[int, Change] = {}
+        self.retired: list[Table] = []
+        self.out: set[int] = set()
+        self.versions = self.last_mark = self.last_number = self.last_token = 0
+        self.numbers: set[int] = set()  # table numbers in use
+        self.armed: set[float] = set()
+        self.following, self.ask_at, self.ask_wait = False, LONG_AGO, 0.5
+        self.probes: set[int] = set()
+        self.noted = False
+
+    @staticmethod
+    def _retry(product: Product, usual: int) -> int:
+        # Danger: an effect twice. Only an inquiry-like txn may be tried again after a try that may have run.
+        return 2 if product.repeats == "inquiry-like" else min(usual, 1) or 1
+
+    # Events: what is known.
+
+    def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
+        for event in events:
+            self._learn(now, event)
+        if self.sliced:
+            told, self.noted = self.noted, True
+            return [] if told else [Note("slices are not decided by this version")]
+        return self._emit(now, self._plan(now))
+
+    def _learn(self, now: float, event: Event) -> None:
+        match event:
+            case Listed():
+                if event.form == "failed":
+                    self.following = False
+                    self.ask_at = now + self.ask_wait * self.uniform(0.5, 1.0)
+                    self.ask_wait = min(2 * self.ask_wait, max(self.ask_every / 4, 0.5))
+                else:
+                    self.ask_wait = 0.5
+                fresh = self.fleet.fold(event)
+                self.health.grow(len(self.fleet.ids))
+                for i in fresh:
+                    self.health.reset(i)
+            case Joined():
+                self.account.forget(event.proxy)
+                self.proxies[event.proxy] = Proxy()
+            case Left():
+                self.account.forget(event.proxy)
+                self.proxies.pop(event.proxy, None)
+                for change in self.changes.values():
+                    change.awaited.discard(event.proxy)
+            case Answered() if event.proxy in self.proxies:
+                self._answered(event.proxy, event.mark, event.took)
+            case Met():
+                i = self.fleet.index.get(event.worker)
+                if i is not None and not self.health.out(i):
+                    self.health.met(i, now, event.tries, event.voided)
+            case Probed():
+                i = self.fleet.index.get(event.worker)
+                self.probes.discard(i)
+                if i is not None and self.health.out(i):
+                    if event.ok:
+                        self.health.begin_trial(i, now)
+                    else:
+                        self.health.until[i] = now + 1.0
+            case Asked() | Rung():
+                pass
+
+    def _answered(self, proxy: int, mark: int, took: float) -> None:
+        if mark not in self.account.sent or proxy not in self.account.sent[mark].awaited:
+            return  # late answer to a mark that is settled
+        order = list(self.account.sent)
+        passed = set(order[: order.index(mark) + 1])
+        self.account.answered(proxy, mark, took)
+        for change in self.changes.values():
+            if change.asked in passed:
+                change.awaited.discard(proxy)
+        for product, held in self.proxies[proxy].holds.items():
+            known = [k for k, (_, asked) in enumerate(held) if asked in passed or asked < 0]
+            if known:
+                newest = known[-1]
+                self.proxies[proxy].holds[product] = [(held[newest][0], -1), *held[newest + 1:]]
+
+    # The wanted state.
+
+    def _part(self, i: int, now: float) -> tuple[float, float]:
+        """A ready worker's wanted part of its listed weight, and the most it may have without danger."""
+        if self.health.out(i):
+            return self.STEP, 0.0
+        age = now - max(self.fleet.since[i], self.health.trial[i])
+        part = min(1.0, self.STEP * (1 + max(0, int(age / self.RAISE)))) if age < self.fleet.warm_after else 1.0
+        return part, part if part < 1.0 else NEVER
+
+    def _plan(self, now: float) -> "Wanted":
+        weight = self.fleet.listed_weight()
+        self.health.judge(now, weight)
+        for i in weight:
+            if self.health.out(i) and self.health.until[i] <= now and not self.may_probe:
+                self.health.begin_trial(i, now)
+        parts: dict[int, float] = {}
+        most: dict[int, float] = {}
+        for i in weight:
+            parts[i], most[i] = self._part(i, now)
+        self._advance(now)
+        wanted = Wanted(parts, {i: weight[i] * parts[i] for i in weight})
+        # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
+        # joined proxy may hold gives it more than it may have now.
+        for table in self._in_use():
+            for i, part in table.parts.items():
+                if part > most.get(i, 0.0) + 1e-9:
+                    wanted.out.add(i)
+        cold = {i for i in weight if most[i] < NEVER and not self.health.out(i)}
+        if weight and not any(i in weight and i not in cold and i not in wanted.out for i in weight):
+            wanted.out -= cold  # Danger: nobody left; where none is warm, shares alone must do
+        for i in weight:
+            if self.may_probe and self.health.out(i) and self.health.until[i] <= now and i not in self.probes:
+                wanted.probes.append(i)
+        return wanted
+
+    def _in_use(self) -> list[Table]:
+        tables = {id(table): table for proxy in self.proxies.values()
+                  for held in proxy.holds.values() for table, _ in held}
+        return list(tables.values())
+
+    def _advance(self, now: float) -> None:
+        """Move each change on as far as answers and timers let it."""
+        patience = self.SILENT + self.account.delay()
+        for product, change in list(self.changes.items()):
+            if change.asked is not None and change.awaited and now >= change.asked_at + patience:
+                change.awaited.clear()  # silent proxies leave the awaited set
+            if change.bound and change.answered_at == NEVER:
+                slow = [p for p in self.proxies.values() if self._unsettled(p, product, change.table)]
+                if not [p for p in slow if p.bound_at == LONG_AGO or now < p.bound_at + patience]:
+                    change.answered_at = now
+                    change.old.clear_at = now + self.LIFETIME
+            if now >= change.answered_at + self.LIFETIME:
+                del self.changes[product]
+
+    @staticmethod
+    def _unsettled(proxy: Proxy, product: int, table: Table) -> bool:
+        held = proxy.holds.get(product, [])
+        return not (len(held) == 1 and held[0][0] is table and held[0][1] < 0)
+
+    def _may_bind(self, change: Change) -> bool:
+        return change.ready() and all(other.ready() for other in self.changes.values()
+                                      if other.version < change.version - self.WINDOW)
+
+    # The difference, and the only place that orders.
+
+    def _emit(self, now: float, wanted: "Wanted") -> list[Order]:
+        orders: list[Order] = []
+        lines: dict[int, float] = {}
+        head = self.account.channel.message_lines + 1.0
+        mark = self.last_mark % 65000 + 1
+        while mark in self.account.sent:
+            mark = mark % 65000 + 1
+
+        def fits(cost: dict[int, float], ordinary: bool) -> bool:
+            more = sum(n + (0.0 if p in lines else head) for p, n in cost.items())
+            waiting = self.account.waiting() + sum(lines.values()) + more
+            most = self.account.channel.waiting_most
+            if any(p not in lines and self.account.messages_left(p, now) <= (self.KEPT_MESSAGES if ordinary else 0)
+                   for p in cost):
+                return False
+            return waiting <= (1.0 - self.KEPT_BACK if ordinary else 0.98) * most
+
+        def spend(cost: dict[int, float]) -> None:
+            for p, n in cost.items():
+                lines[p] = lines.get(p, head) + n
+
+        # Withdrawals first, without stages.
+        for i in sorted(wanted.out ^ self.out):
+            cost = {p: 1.0 for p, proxy in self.proxies.items()
+                    if any(i in t.shares for held in proxy.holds.values() for t, _ in held)}
+            if fits(cost, ordinary=i not in wanted.out):
+                spend(cost)
+                orders.append(Withdraw(self.fleet.ids[i], i in wanted.out))
+                self.out ^= {i}
+        # New tables, laid where nobody is bound yet: no line but the asking.
+        size = {k: self._distance(self.current.get(k), wanted.shares) for k in range(len(self.products))}
+        everyone = False
+        for k in sorted(size, key=lambda k: (-size[k], k)):
+            if k not in self.current:
+                self.current[k] = self._lay(orders, k, wanted)
+            elif k not in self.changes and size[k] > 0:
+                cost = {p: 0.0 for p in self.proxies}
+                if not fits(cost, ordinary=True) or self.account.waiting() > self.account.rate * self.TURN:
+                    continue
+                spend(cost)
+                self.versions += 1
+                everyone = True
+                self.changes[k] = Change(self.versions, self._lay(orders, k, wanted), self.current[k],
+                                         set(self.proxies), mark, now)
+        # Ready changes become current, largest first; then whoever is on another table is bound.
+        for k in sorted(self.changes, key=lambda k: (-size[k], k)):
+            change = self.changes[k]
+            if not change.bound and self._may_bind(change) and change.asked != mark:
+                change.bound, self.current[k] = True, change.table
+                self.retired.append(change.old)
+        for ordinary in (False, True):
+            for k in sorted(self.current, key=lambda k: (-size[k], k)):
+                table = self.current[k]
+                for p, proxy in self.proxies.items():
+                    held = proxy.holds.get(k)
+                    if held and (held[-1][0] is table or not ordinary) or not held and ordinary:
+                        continue
+                    cost = {p: 1.0 + len(table.shares) + 1.0 + sum(i in table.shares for i in self.out)}
+                    busy = self.account.waiting() + sum(lines.values()) > self.account.rate * self.TURN * 2
+                    if not fits(cost, ordinary) or ordinary and busy:
+                        continue
+                    spend(cost)
+                    orders.append(Bind(p, k, table.number))
+                    proxy.holds.setdefault(k, []).append((table, mark))
+                    proxy.bound_at = now
+        used = set(map(id, self._in_use()))
+        for table in list(self.retired):
+            if table.clear_at <= now and id(table) not in used:
+                orders.append(Clear(table.number))
+                self.retired.remove(table)
+                self.numbers.discard(table.number)
+        if lines:
+            self.last_mark = mark
+            orders.append(Mark(mark, everyone))
+            self.account.book(mark, now, lines)
+        for i in wanted.probes:
+            self.probes.add(i)
+            orders.append(Probe(self.fleet.ids[i]))
+        if self.must_ask and not self.following and self.ask_at <= now:
+            self.following = True
+            orders.append(Follow())
+        self._wake(now, orders)
+        return orders
+
+    def _lay(self, orders: list[Order], product: int, wanted: "Wanted") -> Table:
+        number = self.last_number % 65000 + 1
+        while number in self.numbers:
+            number = number % 65000 + 1
+        self.last_number = number
+        self.numbers.add(number)
+        table = Table(number, dict(wanted.shares), dict(wanted.parts), self.retry[product])
+        orders.extend(Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
+        if table.retry != self.usual_retry:
+            orders.append(Admit(number, product, table.retry, 1.0))
+        return table
+
+    @staticmethod
+    def _distance(table: Table | None, shares: dict[int, float]) -> float:
+        """How much weight a change would move, as a part of the whole."""
+        if table is None:
+            return NEVER
+        have, want = sum(table.shares.values()) or 1.0, sum(shares.values()) or 1.0
+        moved = sum(abs(table.shares.get(i, 0.0) / have - shares.get(i, 0.0) / want)
+                    for i in {**table.shares, **shares})
+        return moved if table.shares.keys() ^ shares.keys() or moved > 1e-6 else 0.0
+
+    def _wake(self, now: float, orders: list[Order]) -> None:
+        """One timer at the next time at which something is due of itself."""
+        due = [now + 0.25] if self.changes or self.account.sent or self.retired else []
+        due += [self.ask_at] if self.must_ask and not self.following else []
+        for i, ready in enumerate(self.fleet.ready):
+            if ready and self.health.out(i):
+                due.append(max(self.health.until[i], now + 0.25))
+            elif ready:
+                age = now - max(self.fleet.since[i], self.health.trial[i])
+                if age < self.fleet.warm_after:
+                    due.append(now + self.RAISE - age % self.RAISE if age >= 0 else now + 0.25)
+        self.armed = {at for at in self.armed if at > now}
+        if due and (not self.armed or min(self.armed) > min(due) + 0.01):
+            at = max(min(due), now + 0.01)
+            self.armed.add(at)
+            self.last_token += 1
+            orders.append(Wake(at - now, self.last_token))
+
+
+@dataclass
+class Wanted:
+    """What should be: each ready worker's part and share, who is out, whom to probe."""
+
+    parts: dict[int, float]
+    shares: dict[int, float]
+    out: set[int] = field(default_factory=set)
+    probes: list[int] = field(default_factory=list)
