--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -301,7 +301,7 @@
     @staticmethod
     def _retry(product: Product, usual: int) -> int:
         # Danger: an effect twice. Only an inquiry-like txn may be tried again after a try that may have run.
-        return 2 if product.repeats == "inquiry-like" else min(usual, 1) or 1
+        return 1
 
     # Events: what is known.
 
