--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
+from statistics import median
 
 from dunlinlug.interface import (
     Admit,
@@ -169,8 +170,10 @@
 
     HALF = 1.5  # seconds in which evidence loses half its weight: two or three report cycles
     VOIDED = 3.0  # voided tries before a worker is judged: fewer happen by chance
-    SICK = 0.4  # voided part of the tries at which a worker is withdrawn ...
-    CONTRAST = 3.0  # ... if it is also this many times the others' part, so that overload withdraws none
+    SICK = 0.35  # voided part of the tries at which a worker is withdrawn if the rest settle at the usual pace ...
+    SILENT = 0.9  # ... or this part at any pace: one that is only overfull still settles some
+    PACE = 1.5  # times the median settling time above which a voiding worker counts as overfull, not as failing
+    CONTRAST = 3.0  # and in both cases this many times the median part, so that overload withdraws none
     CEILING = 0.4  # of the ready weight may be out by health: a lost zone of three, not more
     REST = 5.0  # seconds out before the first trial; doubled after each that fails ...
     REST_MOST = 20.0  # ... up to this, about the longest trouble seen
@@ -179,6 +182,7 @@
         self.uniform = random.uniform
         self.tries: list[float] = []
         self.voided: list[float] = []
+        self.took: list[float] = []  # seconds times settled tries
         self.heard_at: list[float] = []
         self.until: list[float] = []  # out until then; LONG_AGO: not out
         self.trial: list[float] = []  # when the last trial began
@@ -186,20 +190,27 @@
 
     def grow(self, size: int) -> None:
         while len(self.tries) < size:
-            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.heard_at, 0.0),
-                                  (self.until, LONG_AGO), (self.trial, LONG_AGO), (self.rest, self.REST)):
+            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0),
+                                  (self.heard_at, 0.0), (self.until, LONG_AGO), (self.trial, LONG_AGO), (self.rest, self.REST)):
                 column.append(start)
 
     def reset(self, i: int) -> None:
-        self.tries[i] = self.voided[i] = 0.0
+        self.tries[i] = self.voided[i] = self.took[i] = 0.0
         self.until[i] = self.trial[i] = LONG_AGO
         self.rest[i] = self.REST
 
-    def met(self, i: int, now: float, tries: int, voided: int) -> None:
+    def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
         fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
         self.heard_at[i] = now
         self.tries[i] = self.tries[i] * fade + tries
         self.voided[i] = self.voided[i] * fade + voided
+        self.took[i] = self.took[i] * fade + took * (tries - voided)
+
+    def part(self, i: int) -> float:
+        return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
+
+    def pace(self, i: int) -> float:
+        return self.took[i] / max(self.tries[i] - self.voided[i], 0.5)
 
     def out(self, i: int) -> bool:
         return self.until[i] > LONG_AGO
@@ -208,22 +219,22 @@
         """Withdraw the worst first, as far as the ceiling lets it."""
         out = sum(w for i, w in weight.items() if self.out(i))
         most = self.CEILING * sum(weight.values())
-        inside = [i for i in weight if not self.out(i)]
-        all_tries, all_voided = sum(self.tries[i] for i in inside), sum(self.voided[i] for i in inside)
+        inside = [i for i in weight if not self.out(i) and self.tries[i] >= 1.0]
+        if len(inside) < 2:
+            return
+        usual_part, usual_pace = median(map(self.part, inside)), median(map(self.pace, inside))
         for i in sorted(inside, key=lambda i: -self.voided[i]):
-            if self.voided[i] < self.VOIDED or out + weight[i] > most:
+            part = self.part(i)
+            if self.voided[i] < self.VOIDED or part < self.CONTRAST * usual_part or out + weight[i] > most:
                 continue
-            part = self.voided[i] / self.tries[i]
-            others = (all_voided - self.voided[i]) / max(all_tries - self.tries[i], 1.0)
-            if part >= self.SICK and part >= self.CONTRAST * others:
+            if part >= self.SILENT or part >= self.SICK and self.pace(i) <= self.PACE * usual_pace:
                 self.until[i] = now + self.rest[i] * self.uniform(1.0, 1.2)
                 self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
                 out += weight[i]
-                all_tries, all_voided = all_tries - self.tries[i], all_voided - self.voided[i]
 
     def begin_trial(self, i: int, now: float) -> None:
         self.until[i], self.trial[i] = LONG_AGO, now
-        self.tries[i] = self.voided[i] = 0.0
+        self.tries[i] = self.voided[i] = self.took[i] = 0.0
 
 
 @dataclass(eq=False)
@@ -339,7 +350,7 @@
             case Met():
                 i = self.fleet.index.get(event.worker)
                 if i is not None and not self.health.out(i):
-                    self.health.met(i, now, event.tries, event.voided)
+                    self.health.met(i, now, event.tries, event.voided, event.took)
             case Probed():
                 i = self.fleet.index.get(event.worker)
                 self.probes.discard(i)
