Shed the least revenue per work first when the median worker voids or slows

Cause: once queues are full, clients' repeats keep them full. Guards against any jam of the whole fleet; can hurt where the median worker is slow for a reason that refusing does not mend.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -237,6 +237,57 @@
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
 
 
+class Gate:
+    """How much of each product is let in: under overload the least revenue per work is refused first."""
+
+    BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
+    VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
+    SLOW = 0.75  # median settling time, in SLA times, taken for overload
+    CALM = 0.6  # of either bound: below it the gate opens again (hysteresis)
+    CLOSE = 0.2  # of the offered work refused more for each step in overload
+    OPEN = 0.06  # let in again for each calm step: slower, as a jam that returns costs more
+    FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
+    MOST = 0.85  # of all work refused at most
+
+    def __init__(self, products: tuple[Product, ...]) -> None:
+        # Work is not told; the SLA time stands for it, as longer work is given more time.
+        self.products = products
+        self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
+        self.asked = [1.0] * len(products)
+        self.names = {product.name: k for k, product in enumerate(products)}
+        self.cut = 0.0
+        self.next = 0.0
+
+    def came(self, name: str, txns: int) -> None:
+        k = self.names.get(name)
+        if k is not None:
+            self.asked[k] += txns
+
+    def step(self, now: float, voided: float, pace: float) -> None:
+        """Move the cut by the median worker's voided part and pace; a few bad workers don't move a median."""
+        if now < self.next:
+            return
+        self.next = now + self.BEAT
+        self.asked = [0.8 * asked for asked in self.asked]
+        work = [asked * product.sla for asked, product in zip(self.asked, self.products, strict=True)]
+        sla = sum(w * product.sla for w, product in zip(work, self.products, strict=True)) / sum(work)
+        stress = max(voided / self.VOIDED, pace / (self.SLOW * sla))
+        if stress > 1.0:
+            self.cut = min(self.cut + self.CLOSE * min(stress - 1.0, 1.0), self.MOST)
+        elif stress < self.CALM:
+            self.cut = max(self.cut - self.OPEN, 0.0)
+
+    def levels(self) -> list[float]:
+        """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
+        work = [asked * product.sla for asked, product in zip(self.asked, self.products, strict=True)]
+        rest, shares = self.cut * sum(work), [1.0] * len(work)
+        for k in self.order:
+            refused = min(rest, (1.0 - self.FLOOR) * work[k])
+            rest -= refused
+            shares[k] = max(round(10 * (1.0 - refused / work[k])) / 10, self.FLOOR)
+        return shares
+
+
 @dataclass(eq=False)
 class Table:
     """A table under its number: each worker's share, and that share's part of the listed weight."""
@@ -244,8 +295,7 @@
     number: int
     shares: dict[int, float]
     parts: dict[int, float]
-    retry: int
-    laid: bool = False
+    level: float
     clear_at: float = NEVER
 
 
@@ -297,6 +347,7 @@
         self.fleet = Fleet(trade.duties.warm_after)
         self.account = Account(trade.channel)
         self.health = Health(random)
+        self.gate = Gate(trade.products) if trade.admits == "share" else None
         self.proxies: dict[int, Proxy] = {}
         self.current: dict[int, Table] = {}
         self.changes: dict[int, Change] = {}
@@ -359,8 +410,8 @@
                         self.health.begin_trial(i, now)
                     else:
                         self.health.until[i] = now + 1.0
-            case Asked() | Rung():
-                pass
+            case Asked() if self.gate:
+                self.gate.came(event.product, event.txns)
 
     def _answered(self, proxy: int, mark: int, took: float) -> None:
         if mark not in self.account.sent or proxy not in self.account.sent[mark].awaited:
@@ -398,7 +449,12 @@
         for i in weight:
             parts[i], most[i] = self._part(i, now)
         self._advance(now)
-        wanted = Wanted(parts, {i: weight[i] * parts[i] for i in weight})
+        levels = [1.0] * len(self.products)
+        heard = [i for i in weight if not self.health.out(i) and self.health.tries[i] >= 1.0]
+        if self.gate and heard:
+            self.gate.step(now, median(map(self.health.part, heard)), median(map(self.health.pace, heard)))
+            levels = self.gate.levels()
+        wanted = Wanted(parts, {i: weight[i] * parts[i] for i in weight}, levels)
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         for table in self._in_use():
@@ -472,6 +528,15 @@
                 spend(cost)
                 orders.append(Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
+        # Levels next, in the tables in use: refusals must not wait behind a change.
+        for k, level in enumerate(wanted.levels):
+            for table in dict.fromkeys(t for p in self.proxies.values() for t, _ in p.holds.get(k, ())):
+                users = {p: 1.0 for p, proxy in self.proxies.items()
+                         if proxy.holds.get(k) and proxy.holds[k][-1][0] is table}
+                if users and abs(table.level - level) > 0.01 and fits(users, ordinary=False):
+                    spend(users)
+                    orders.append(Admit(table.number, k, self.retry[k], level))
+                    table.level = level
         # New tables, laid where nobody is bound yet: no line but the asking.
         size = {k: self._distance(self.current.get(k), wanted.shares) for k in range(len(self.products))}
         everyone = False
@@ -500,7 +565,7 @@
                     held = proxy.holds.get(k)
                     if held and (held[-1][0] is table or not ordinary) or not held and ordinary:
                         continue
-                    cost = {p: 1.0 + len(table.shares) + 1.0 + sum(i in table.shares for i in self.out)}
+                    cost = {p: 2.0 + len(table.shares) + sum(i in table.shares for i in self.out)}
                     busy = self.account.waiting() + sum(lines.values()) > self.account.rate * self.TURN * 2
                     if not fits(cost, ordinary) or ordinary and busy:
                         continue
@@ -533,10 +598,10 @@
             number = number % 65000 + 1
         self.last_number = number
         self.numbers.add(number)
-        table = Table(number, dict(wanted.shares), dict(wanted.parts), self.retry[product])
+        table = Table(number, dict(wanted.shares), dict(wanted.parts), wanted.levels[product])
         orders.extend(Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
-        if table.retry != self.usual_retry:
-            orders.append(Admit(number, product, table.retry, 1.0))
+        if self.retry[product] != self.usual_retry or table.level < 1.0:
+            orders.append(Admit(number, product, self.retry[product], table.level))
         return table
 
     @staticmethod
@@ -574,5 +639,6 @@
 
     parts: dict[int, float]
     shares: dict[int, float]
+    levels: list[float]
     out: set[int] = field(default_factory=set)
     probes: list[int] = field(default_factory=list)
--- a/dunlinlug/drill/codec.py
+++ b/dunlinlug/drill/codec.py
@@ -11,6 +11,7 @@
 MILLI = 1e3
 REPEATS = {"pure": "inquiry-like", "token": "referenced", "side_effect": "once-only"}
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
+ADMITS = {"ratio": "share", "rps": "rate"}
 FORMS = {"update": "changes", "replace": "whole", "restored": "kept", "unavailable": "failed"}
 LOADS = {"depth": "queue", "mean_ms": "service_s", "concurrent": "held", "load_share": "busy",
          "tps": "settled_per_s", "err_ps": "voided_per_s"}
@@ -114,7 +115,7 @@
         must_ask=info.get("membershipMode") == "subscribe", may_probe=bool(caps.get("probes")),
         report_fields=tuple(LOADS.get(name, name) for name in reporting.get("fields") or ()),
         reports_in=reporting.get("how") or "none", report_cycle=_s(spec.get("cycleUs") or MICRO),
-        usual_retry=int(spec.get("usualHow") or 0), admits=spec.get("admit") or "none",
+        usual_retry=int(spec.get("usualHow") or 0), admits=ADMITS.get(spec.get("admit"), "none"),
         slices=int(spec.get("keyRanges") or 0),
     )
 
