--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -358,7 +358,7 @@
         self.armed: set[float] = set()
         self.following, self.ask_at, self.ask_wait = False, LONG_AGO, 0.5
         self.probes: set[int] = set()
-        self.noted = False
+        self.told, self.noted = False, set[int]()
 
     @staticmethod
     def _retry(product: Product, usual: int) -> int:
@@ -371,7 +371,7 @@
         for event in events:
             self._learn(now, event)
         if self.sliced:
-            told, self.noted = self.noted, True
+            told, self.told = self.told, True
             return [] if told else [Note("slices are not decided by this version")]
         return self._emit(now, self._plan(now))
 
@@ -521,6 +521,12 @@
                 lines[p] = lines.get(p, head) + n
 
         # Withdrawals first, without stages.
+        sick = {i for i in wanted.parts if self.health.out(i)}
+        for i in sorted(sick ^ self.noted):
+            h = self.health
+            orders.append(Note(f"{self.fleet.ids[i]} {'out' if i in sick else 'on trial'}: {h.part(i):.2f} of "
+                               f"{h.tries[i]:.0f} tries voided, settled in {h.pace(i):.2f} s"))
+        self.noted = sick
         for i in sorted(wanted.out ^ self.out):
             cost = {p: 1.0 for p, proxy in self.proxies.items()
                     if any(i in t.shares for held in proxy.holds.values() for t, _ in held)}
