--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -166,17 +166,20 @@
 
 
 class Health:
-    """Judges workers by what proxies met, in contrast to the other workers."""
+    """Judges workers by what proxies met, in contrast to the other workers and to a worker's own usual pace."""
 
     HALF = 1.5  # seconds in which evidence loses half its weight: two or three report cycles
-    VOIDED = 3.0  # voided tries before a worker is judged: fewer happen by chance
-    SICK = 0.35  # voided part of the tries at which a worker is withdrawn if the rest settle at the usual pace ...
-    SILENT = 0.9  # ... or this part at any pace: one that is only overfull still settles some
-    PACE = 1.5  # times the median settling time above which a voiding worker counts as overfull, not as failing
-    CONTRAST = 3.0  # and in both cases this many times the median part, so that overload withdraws none
-    CEILING = 0.4  # of the ready weight may be out by health: a lost zone of three, not more
-    REST = 5.0  # seconds out before the first trial; doubled after each that fails ...
-    REST_MOST = 20.0  # ... up to this, about the longest trouble seen
+    ENOUGH = 3.0  # voided (or settled) tries before a worker is judged: fewer happen by chance
+    FAILING = 0.35  # voided part of the tries from which a worker is failing ...
+    CONTRAST = 3.0  # ... if also this many times the median part, so that overload condemns none
+    SILENT = 0.9  # a failing worker is withdrawn from this part on: one that is only slow still settles some ...
+    PACE = 1.5  # ... or if it settles within this many times its usual pace: it is quick to void
+    SLOW, SLOWER = 2.0, 3.0  # times the usual pace for half the share, and for a quarter
+    WELL = 1.4  # times the usual pace up to which a worker may be raised again (hysteresis)
+    CEILING = 0.4  # of the ready weight may be lost to health: a zone of three, not more
+    RAISE = 5.0  # seconds on a step before the next: a few report cycles with their lateness
+    REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
+    STEPS = (0.25, 0.5, 1.0)
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
@@ -184,20 +187,20 @@
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
         self.heard_at: list[float] = []
-        self.until: list[float] = []  # out until then; LONG_AGO: not out
-        self.trial: list[float] = []  # when the last trial began
+        self.base: list[float] = []  # usual pace against the median worker's
+        self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else one of STEPS
+        self.due: list[float] = []  # when the next step up, or the trial, may come
         self.rest: list[float] = []
 
     def grow(self, size: int) -> None:
         while len(self.tries) < size:
-            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0),
-                                  (self.heard_at, 0.0), (self.until, LONG_AGO), (self.trial, LONG_AGO), (self.rest, self.REST)):
+            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0), (self.heard_at, 0.0),
+                                  (self.base, 1.0), (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
                 column.append(start)
 
     def reset(self, i: int) -> None:
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
-        self.until[i] = self.trial[i] = LONG_AGO
-        self.rest[i] = self.REST
+        self.base[i], self.cap[i], self.rest[i] = 1.0, 1.0, self.REST
 
     def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
         fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
@@ -213,27 +216,44 @@
         return self.took[i] / max(self.tries[i] - self.voided[i], 0.5)
 
     def out(self, i: int) -> bool:
-        return self.until[i] > LONG_AGO
+        return self.cap[i] == 0.0
 
     def judge(self, now: float, weight: dict[int, float]) -> None:
-        """Withdraw the worst first, as far as the ceiling lets it."""
-        out = sum(w for i, w in weight.items() if self.out(i))
-        most = self.CEILING * sum(weight.values())
-        inside = [i for i in weight if not self.out(i) and self.tries[i] >= 1.0]
-        if len(inside) < 2:
+        """Step each worker's cap down on evidence, the worst first, and up again after a while of good evidence."""
+        room = self.CEILING * sum(weight.values()) - sum(w * (1.0 - self.cap[i]) for i, w in weight.items())
+        peers = [i for i in weight if self.cap[i] >= 0.5 and self.tries[i] >= 1.0]
+        if len(peers) < 2:
             return
-        usual_part, usual_pace = median(map(self.part, inside)), median(map(self.pace, inside))
-        for i in sorted(inside, key=lambda i: -self.voided[i]):
-            part = self.part(i)
-            if self.voided[i] < self.VOIDED or part < self.CONTRAST * usual_part or out + weight[i] > most:
+        usual_part, usual_pace = median(map(self.part, peers)), median(map(self.pace, peers)) or 1.0
+        for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
+            part, settled = self.part(i), self.tries[i] - self.voided[i]
+            pace = self.pace(i) / usual_pace
+            beyond = pace / self.base[i]
+            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
+            cap = self.cap[i]
+            if failing and (part >= self.SILENT or beyond <= self.PACE):
+                cap = 0.0
+            elif failing or settled >= self.ENOUGH and beyond >= self.SLOWER:
+                cap = self.STEPS[0]
+            elif settled >= self.ENOUGH and beyond >= self.SLOW:
+                cap = min(cap, self.STEPS[1])
+            elif cap < 1.0 and now >= self.due[i] and settled >= 1.0 and beyond <= self.WELL:
+                cap = self.STEPS[self.STEPS.index(cap) + 1]
+            elif cap == 1.0 and settled >= self.ENOUGH:
+                self.base[i] += 0.02 * (min(max(pace, 0.5), 2.0) - self.base[i])
+            if cap < self.cap[i] and weight[i] * (self.cap[i] - cap) > room:
                 continue
-            if part >= self.SILENT or part >= self.SICK and self.pace(i) <= self.PACE * usual_pace:
-                self.until[i] = now + self.rest[i] * self.uniform(1.0, 1.2)
-                self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
-                out += weight[i]
+            if cap != self.cap[i]:
+                room += weight[i] * (cap - self.cap[i])
+                self.due[i] = now + (self.RAISE if cap else self.rest[i] * self.uniform(1.0, 1.2))
+                if not cap:
+                    self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
+                self.cap[i] = cap
+            elif cap == 1.0:
+                self.rest[i] = max(self.REST, self.rest[i] - 0.01)
 
     def begin_trial(self, i: int, now: float) -> None:
-        self.until[i], self.trial[i] = LONG_AGO, now
+        self.cap[i], self.due[i] = self.STEPS[0], now + self.RAISE
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
 
 
@@ -358,7 +378,7 @@
         self.armed: set[float] = set()
         self.following, self.ask_at, self.ask_wait = False, LONG_AGO, 0.5
         self.probes: set[int] = set()
-        self.told, self.noted = False, set[int]()
+        self.told, self.noted = False, dict[int, float]()
 
     @staticmethod
     def _retry(product: Product, usual: int) -> int:
@@ -409,7 +429,7 @@
                     if event.ok:
                         self.health.begin_trial(i, now)
                     else:
-                        self.health.until[i] = now + 1.0
+                        self.health.due[i] = now + 1.0
             case Asked() if self.gate:
                 self.gate.came(event.product, event.txns)
 
@@ -432,17 +452,16 @@
 
     def _part(self, i: int, now: float) -> tuple[float, float]:
         """A ready worker's wanted part of its listed weight, and the most it may have without danger."""
-        if self.health.out(i):
-            return self.STEP, 0.0
-        age = now - max(self.fleet.since[i], self.health.trial[i])
+        age, cap = now - self.fleet.since[i], self.health.cap[i]
         part = min(1.0, self.STEP * (1 + max(0, int(age / self.RAISE)))) if age < self.fleet.warm_after else 1.0
-        return part, part if part < 1.0 else NEVER
+        # A trial's first share is in the tables before the trial; a jammed worker empties while that is bound.
+        return min(part, cap or self.STEP), min(part if part < 1.0 else NEVER, cap if cap < 0.5 else NEVER)
 
     def _plan(self, now: float) -> "Wanted":
         weight = self.fleet.listed_weight()
         self.health.judge(now, weight)
         for i in weight:
-            if self.health.out(i) and self.health.until[i] <= now and not self.may_probe:
+            if self.health.out(i) and self.health.due[i] <= now and not self.may_probe:
                 self.health.begin_trial(i, now)
         parts: dict[int, float] = {}
         most: dict[int, float] = {}
@@ -461,11 +480,11 @@
             for i, part in table.parts.items():
                 if part > most.get(i, 0.0) + 1e-9:
                     wanted.out.add(i)
-        cold = {i for i in weight if most[i] < NEVER and not self.health.out(i)}
+        cold = {i for i in weight if most[i] < NEVER and self.health.cap[i] >= 0.5}
         if weight and not any(i in weight and i not in cold and i not in wanted.out for i in weight):
             wanted.out -= cold  # Danger: nobody left; where none is warm, shares alone must do
         for i in weight:
-            if self.may_probe and self.health.out(i) and self.health.until[i] <= now and i not in self.probes:
+            if self.may_probe and self.health.out(i) and self.health.due[i] <= now and i not in self.probes:
                 wanted.probes.append(i)
         return wanted
 
@@ -521,12 +540,13 @@
                 lines[p] = lines.get(p, head) + n
 
         # Withdrawals first, without stages.
-        sick = {i for i in wanted.parts if self.health.out(i)}
-        for i in sorted(sick ^ self.noted):
+        caps = {i: self.health.cap[i] for i in wanted.parts}
+        for i, cap in caps.items():
             h = self.health
-            orders.append(Note(f"{self.fleet.ids[i]} {'out' if i in sick else 'on trial'}: {h.part(i):.2f} of "
-                               f"{h.tries[i]:.0f} tries voided, settled in {h.pace(i):.2f} s"))
-        self.noted = sick
+            if cap != self.noted.get(i, 1.0):
+                orders.append(Note(f"{self.fleet.ids[i]} to {cap}: {h.part(i):.2f} of {h.tries[i]:.0f} tries "
+                                   f"voided, settled in {h.pace(i):.2f} s, usual {h.base[i]:.2f}"))
+        self.noted = caps
         for i in sorted(wanted.out ^ self.out):
             cost = {p: 1.0 for p, proxy in self.proxies.items()
                     if any(i in t.shares for held in proxy.holds.values() for t, _ in held)}
@@ -626,9 +646,9 @@
         due += [self.ask_at] if self.must_ask and not self.following else []
         for i, ready in enumerate(self.fleet.ready):
             if ready and self.health.out(i):
-                due.append(max(self.health.until[i], now + 0.25))
+                due.append(max(self.health.due[i], now + 0.25))
             elif ready:
-                age = now - max(self.fleet.since[i], self.health.trial[i])
+                age = now - self.fleet.since[i]
                 if age < self.fleet.warm_after:
                     due.append(now + self.RAISE - age % self.RAISE if age >= 0 else now + 0.25)
         self.armed = {at for at in self.armed if at > now}
