--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -169,13 +169,13 @@
     """Judges workers by what proxies met, in contrast to the other workers and to a worker's own usual pace."""
 
     HALF = 1.5  # seconds in which evidence loses half its weight: two or three report cycles
-    ENOUGH = 3.0  # voided (or settled) tries before a worker is judged: fewer happen by chance
+    ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
     FAILING = 0.35  # voided part of the tries from which a worker is failing ...
-    CONTRAST = 3.0  # ... if also this many times the median part, so that overload condemns none
-    SILENT = 0.9  # a failing worker is withdrawn from this part on: one that is only slow still settles some ...
-    PACE = 1.5  # ... or if it settles within this many times its usual pace: it is quick to void
-    SLOW, SLOWER = 2.0, 3.0  # times the usual pace for half the share, and for a quarter
-    WELL = 1.4  # times the usual pace up to which a worker may be raised again (hysteresis)
+    CONTRAST = 3.0  # ... if also this many times the median part, so that overload condemns none ...
+    PACE = 1.6  # ... and what it settles takes at most this many times as usual: more, and it is only overfull
+    SLOW, SLOWER = 1.8, 3.0  # times the usual service time for half the share, and for a quarter
+    WELL = 1.35  # times the usual service time up to which a worker may be raised again (hysteresis)
+    LEARN = 0.03  # of each report goes into a worker's usual service time: dozens of reports
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three, not more
     RAISE = 5.0  # seconds on a step before the next: a few report cycles with their lateness
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
@@ -187,7 +187,9 @@
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
         self.heard_at: list[float] = []
-        self.base: list[float] = []  # usual pace against the median worker's
+        self.service: list[float] = []  # recent service time as reported, without waiting; 0 if never told
+        self.told: list[int] = []  # reports of it
+        self.base: list[float] = []  # usual service time against the median worker's
         self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else one of STEPS
         self.due: list[float] = []  # when the next step up, or the trial, may come
         self.rest: list[float] = []
@@ -195,12 +197,12 @@
     def grow(self, size: int) -> None:
         while len(self.tries) < size:
             for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0), (self.heard_at, 0.0),
-                                  (self.base, 1.0), (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
+                                  (self.service, 0.0), (self.told, 0), (self.base, 1.0), (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
                 column.append(start)
 
     def reset(self, i: int) -> None:
-        self.tries[i] = self.voided[i] = self.took[i] = 0.0
-        self.base[i], self.cap[i], self.rest[i] = 1.0, 1.0, self.REST
+        self.tries[i] = self.voided[i] = self.took[i] = self.service[i] = 0.0
+        self.base[i], self.told[i], self.cap[i], self.rest[i] = 1.0, 0, 1.0, self.REST
 
     def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
         fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
@@ -209,6 +211,18 @@
         self.voided[i] = self.voided[i] * fade + voided
         self.took[i] = self.took[i] * fade + took * (tries - voided)
 
+    def reported(self, i: int, service: float | None, usual: float) -> None:
+        """A load report: the service time against the median worker's is what tells a slow worker."""
+        if service:
+            self.service[i] = (self.service[i] + service) / 2 if self.service[i] else service
+            self.told[i] += 1
+            beyond = self.service[i] / usual / self.base[i] if usual else 1.0
+            if usual and self.cap[i] == 1.0 and (beyond < self.WELL or self.told[i] < 4):
+                self.base[i] *= 1.0 + max(1.0 / self.told[i], self.LEARN) * (beyond - 1.0)
+
+    def usual_service(self) -> float:
+        return median([s for s, cap in zip(self.service, self.cap, strict=True) if s and cap >= 0.5] or [0.0])
+
     def part(self, i: int) -> float:
         return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
 
@@ -225,22 +239,17 @@
         if len(peers) < 2:
             return
         usual_part, usual_pace = median(map(self.part, peers)), median(map(self.pace, peers)) or 1.0
+        usual_service = self.usual_service() or 1.0
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
-            part, settled = self.part(i), self.tries[i] - self.voided[i]
-            pace = self.pace(i) / usual_pace
-            beyond = pace / self.base[i]
+            part, cap = self.part(i), self.cap[i]
+            slow = self.service[i] / usual_service / self.base[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
-            cap = self.cap[i]
-            if failing and (part >= self.SILENT or beyond <= self.PACE):
+            if failing and self.pace(i) <= self.PACE * usual_pace * self.base[i] and slow < self.SLOWER:
                 cap = 0.0
-            elif failing or settled >= self.ENOUGH and beyond >= self.SLOWER:
-                cap = self.STEPS[0]
-            elif settled >= self.ENOUGH and beyond >= self.SLOW:
-                cap = min(cap, self.STEPS[1])
-            elif cap < 1.0 and now >= self.due[i] and settled >= 1.0 and beyond <= self.WELL:
+            elif slow >= self.SLOW:
+                cap = min(cap, self.STEPS[0] if slow >= self.SLOWER else self.STEPS[1])
+            elif cap < 1.0 and now >= self.due[i] and self.tries[i] > 2 * self.voided[i] and slow <= self.WELL:
                 cap = self.STEPS[self.STEPS.index(cap) + 1]
-            elif cap == 1.0 and settled >= self.ENOUGH:
-                self.base[i] += 0.02 * (min(max(pace, 0.5), 2.0) - self.base[i])
             if cap < self.cap[i] and weight[i] * (self.cap[i] - cap) > room:
                 continue
             if cap != self.cap[i]:
@@ -421,6 +430,7 @@
             case Met():
                 i = self.fleet.index.get(event.worker)
                 if i is not None and not self.health.out(i):
+                    self.health.reported(i, event.load.get("service_s"), self.health.usual_service())
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case Probed():
                 i = self.fleet.index.get(event.worker)
@@ -545,7 +555,7 @@
             h = self.health
             if cap != self.noted.get(i, 1.0):
                 orders.append(Note(f"{self.fleet.ids[i]} to {cap}: {h.part(i):.2f} of {h.tries[i]:.0f} tries "
-                                   f"voided, settled in {h.pace(i):.2f} s, usual {h.base[i]:.2f}"))
+                                   f"voided, settled in {h.pace(i):.2f} s, service {h.service[i]:.3f} s, usual {h.base[i]:.2f}"))
         self.noted = caps
         for i in sorted(wanted.out ^ self.out):
             cost = {p: 1.0 for p, proxy in self.proxies.items()
