Cap a slow worker's share only if it voids in contrast and the others have room

It also holds in general overload, where all void; it acts late on a worker that is slow but still settles.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -173,9 +173,9 @@
     FAILING = 0.35  # voided part of the tries from which a worker is failing ...
     CONTRAST = 3.0  # ... if also this many times the median part, so that overload condemns none ...
     PACE = 1.6  # ... and what it settles takes at most this many times as usual: more, and it is only overfull
-    SLOW, SLOWER = 1.8, 3.0  # times the usual service time for half the share, and for a quarter
-    WELL = 1.35  # times the usual service time up to which a worker may be raised again (hysteresis)
-    LEARN = 0.03  # of each report goes into a worker's usual service time: dozens of reports
+    SILENT = 0.9  # from this voided part on a failing worker is withdrawn at any pace
+    WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
+    BUSY = 0.08  # median voided part from which no slow worker's share is moved: the others have no room
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three, not more
     RAISE = 5.0  # seconds on a step before the next: a few report cycles with their lateness
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
@@ -187,9 +187,6 @@
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
         self.heard_at: list[float] = []
-        self.service: list[float] = []  # recent service time as reported, without waiting; 0 if never told
-        self.told: list[int] = []  # reports of it
-        self.base: list[float] = []  # usual service time against the median worker's
         self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else one of STEPS
         self.due: list[float] = []  # when the next step up, or the trial, may come
         self.rest: list[float] = []
@@ -197,12 +194,12 @@
     def grow(self, size: int) -> None:
         while len(self.tries) < size:
             for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0), (self.heard_at, 0.0),
-                                  (self.service, 0.0), (self.told, 0), (self.base, 1.0), (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
+                                  (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
                 column.append(start)
 
     def reset(self, i: int) -> None:
-        self.tries[i] = self.voided[i] = self.took[i] = self.service[i] = 0.0
-        self.base[i], self.told[i], self.cap[i], self.rest[i] = 1.0, 0, 1.0, self.REST
+        self.tries[i] = self.voided[i] = self.took[i] = 0.0
+        self.cap[i], self.rest[i] = 1.0, self.REST
 
     def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
         fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
@@ -211,18 +208,6 @@
         self.voided[i] = self.voided[i] * fade + voided
         self.took[i] = self.took[i] * fade + took * (tries - voided)
 
-    def reported(self, i: int, service: float | None, usual: float) -> None:
-        """A load report: the service time against the median worker's is what tells a slow worker."""
-        if service:
-            self.service[i] = (self.service[i] + service) / 2 if self.service[i] else service
-            self.told[i] += 1
-            beyond = self.service[i] / usual / self.base[i] if usual else 1.0
-            if usual and self.cap[i] == 1.0 and (beyond < self.WELL or self.told[i] < 4):
-                self.base[i] *= 1.0 + max(1.0 / self.told[i], self.LEARN) * (beyond - 1.0)
-
-    def usual_service(self) -> float:
-        return median([s for s, cap in zip(self.service, self.cap, strict=True) if s and cap >= 0.5] or [0.0])
-
     def part(self, i: int) -> float:
         return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
 
@@ -239,16 +224,14 @@
         if len(peers) < 2:
             return
         usual_part, usual_pace = median(map(self.part, peers)), median(map(self.pace, peers)) or 1.0
-        usual_service = self.usual_service() or 1.0
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap = self.part(i), self.cap[i]
-            slow = self.service[i] / usual_service / self.base[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
-            if failing and self.pace(i) <= self.PACE * usual_pace * self.base[i] and slow < self.SLOWER:
+            if failing and (part >= self.SILENT or self.pace(i) <= self.PACE * usual_pace):
                 cap = 0.0
-            elif slow >= self.SLOW:
-                cap = min(cap, self.STEPS[0] if slow >= self.SLOWER else self.STEPS[1])
-            elif cap < 1.0 and now >= self.due[i] and self.tries[i] > 2 * self.voided[i] and slow <= self.WELL:
+            elif failing and usual_part < self.BUSY:
+                cap = self.STEPS[0]
+            elif cap < 1.0 and now >= self.due[i] and part <= self.WELL:
                 cap = self.STEPS[self.STEPS.index(cap) + 1]
             if cap < self.cap[i] and weight[i] * (self.cap[i] - cap) > room:
                 continue
@@ -430,7 +413,6 @@
             case Met():
                 i = self.fleet.index.get(event.worker)
                 if i is not None and not self.health.out(i):
-                    self.health.reported(i, event.load.get("service_s"), self.health.usual_service())
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case Probed():
                 i = self.fleet.index.get(event.worker)
@@ -555,7 +537,7 @@
             h = self.health
             if cap != self.noted.get(i, 1.0):
                 orders.append(Note(f"{self.fleet.ids[i]} to {cap}: {h.part(i):.2f} of {h.tries[i]:.0f} tries "
-                                   f"voided, settled in {h.pace(i):.2f} s, service {h.service[i]:.3f} s, usual {h.base[i]:.2f}"))
+                                   f"voided, settled in {h.pace(i):.2f} s"))
         self.noted = caps
         for i in sorted(wanted.out ^ self.out):
             cost = {p: 1.0 for p, proxy in self.proxies.items()
