--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -34,7 +34,6 @@
     Probe,
     Probed,
     Product,
-    Rung,
     Share,
     Trade,
     Wake,
@@ -176,16 +175,19 @@
     SILENT = 0.9  # from this voided part on a failing worker is withdrawn at any pace
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
     BUSY = 0.08  # median voided part from which no slow worker's share is moved: the others have no room
-    CEILING = 0.4  # of the ready weight may be lost to health: a zone of three, not more
+    SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is slow, one above is overfull
+    CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
+    CUT_OFF = 0.8  # ... but for silent workers, if a quarter of the fleet does well: zones cut off or lost
     RAISE = 5.0  # seconds on a step before the next: a few report cycles with their lateness
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
-    STEPS = (0.25, 0.5, 1.0)
+    STEPS = (0.25, 0.5, 0.75, 1.0)
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
         self.tries: list[float] = []
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
+        self.usual: list[float] = []  # settled tries in a span when all is well
         self.heard_at: list[float] = []
         self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else one of STEPS
         self.due: list[float] = []  # when the next step up, or the trial, may come
@@ -193,8 +195,8 @@
 
     def grow(self, size: int) -> None:
         while len(self.tries) < size:
-            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0), (self.heard_at, 0.0),
-                                  (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
+            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0), (self.usual, 0.0),
+                                  (self.heard_at, 0.0), (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
                 column.append(start)
 
     def reset(self, i: int) -> None:
@@ -207,6 +209,9 @@
         self.tries[i] = self.tries[i] * fade + tries
         self.voided[i] = self.voided[i] * fade + voided
         self.took[i] = self.took[i] * fade + took * (tries - voided)
+        settled = self.tries[i] - self.voided[i]
+        if self.cap[i] == 1.0 and settled > self.voided[i]:
+            self.usual[i] += 0.05 * (settled - self.usual[i]) if self.usual[i] else settled
 
     def part(self, i: int) -> float:
         return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
@@ -219,30 +224,35 @@
 
     def judge(self, now: float, weight: dict[int, float]) -> None:
         """Step each worker's cap down on evidence, the worst first, and up again after a while of good evidence."""
-        room = self.CEILING * sum(weight.values()) - sum(w * (1.0 - self.cap[i]) for i, w in weight.items())
+        whole, lost = sum(weight.values()), sum(w * (1.0 - self.cap[i]) for i, w in weight.items())
         peers = [i for i in weight if self.cap[i] >= 0.5 and self.tries[i] >= 1.0]
         if len(peers) < 2:
             return
+        well = sorted(map(self.part, peers))[len(peers) // 4] < self.BUSY
         usual_part, usual_pace = median(map(self.part, peers)), median(map(self.pace, peers)) or 1.0
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap = self.part(i), self.cap[i]
-            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
-            if failing and (part >= self.SILENT or self.pace(i) <= self.PACE * usual_pace):
+            least = self.CONTRAST * usual_part
+            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, least)
+            silent = self.voided[i] >= self.ENOUGH and part >= self.SILENT and (failing or well)
+            if silent or failing and self.pace(i) <= self.PACE * usual_pace:
                 cap = 0.0
-            elif failing and usual_part < self.BUSY:
+            elif failing and usual_part < self.BUSY and self.tries[i] - self.voided[i] < self.SPENT * self.usual[i]:
                 cap = self.STEPS[0]
+            elif failing and usual_part < self.BUSY and now >= self.due[i]:
+                cap = self.STEPS[max(self.STEPS.index(cap) - 1, 0)]
             elif cap < 1.0 and now >= self.due[i] and part <= self.WELL:
                 cap = self.STEPS[self.STEPS.index(cap) + 1]
-            if cap < self.cap[i] and weight[i] * (self.cap[i] - cap) > room:
+            most = self.CUT_OFF if silent and well else self.CEILING
+            if cap == self.cap[i] or cap < self.cap[i] and lost + weight[i] * (self.cap[i] - cap) > most * whole:
                 continue
-            if cap != self.cap[i]:
-                room += weight[i] * (cap - self.cap[i])
-                self.due[i] = now + (self.RAISE if cap else self.rest[i] * self.uniform(1.0, 1.2))
-                if not cap:
-                    self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
-                self.cap[i] = cap
+            lost += weight[i] * (self.cap[i] - cap)
+            self.due[i] = now + (self.RAISE if cap else self.rest[i] * self.uniform(1.0, 1.2))
+            if not cap:
+                self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
             elif cap == 1.0:
-                self.rest[i] = max(self.REST, self.rest[i] - 0.01)
+                self.rest[i] = self.REST
+            self.cap[i] = cap
 
     def begin_trial(self, i: int, now: float) -> None:
         self.cap[i], self.due[i] = self.STEPS[0], now + self.RAISE
@@ -257,7 +267,7 @@
     SLOW = 0.75  # median settling time, in SLA times, taken for overload
     CALM = 0.6  # of either bound: below it the gate opens again (hysteresis)
     CLOSE = 0.2  # of the offered work refused more for each step in overload
-    OPEN = 0.06  # let in again for each calm step: slower, as a jam that returns costs more
+    OPEN = 0.1  # let in again for each calm step: slower, as a jam that returns costs more
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
     MOST = 0.85  # of all work refused at most
 
