Trials go from a quarter straight to the full share after 3 s of good evidence

Long steps back kept the rest jammed. A worker that came back cold without the list's word bears a quarter; the rule on cold workers counts only known starts.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -178,9 +178,9 @@
     SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is slow, one above is overfull
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent workers, if a quarter of the fleet does well: zones cut off or lost
-    RAISE = 5.0  # seconds on a step before the next: a few report cycles with their lateness
+    TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles with their lateness
+    TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
-    STEPS = (0.25, 0.5, 0.75, 1.0)
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
@@ -189,7 +189,7 @@
         self.took: list[float] = []  # seconds times settled tries
         self.usual: list[float] = []  # settled tries in a span when all is well
         self.heard_at: list[float] = []
-        self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else one of STEPS
+        self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else TRIAL_SHARE or 1
         self.due: list[float] = []  # when the next step up, or the trial, may come
         self.rest: list[float] = []
 
@@ -234,20 +234,19 @@
             part, cap = self.part(i), self.cap[i]
             least = self.CONTRAST * usual_part
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, least)
+            settled, brisk = self.tries[i] - self.voided[i], self.pace(i) <= self.PACE * usual_pace
             silent = self.voided[i] >= self.ENOUGH and part >= self.SILENT and (failing or well)
-            if silent or failing and self.pace(i) <= self.PACE * usual_pace:
+            if (silent or failing) and (brisk or settled < 0.5):
                 cap = 0.0
-            elif failing and usual_part < self.BUSY and self.tries[i] - self.voided[i] < self.SPENT * self.usual[i]:
-                cap = self.STEPS[0]
-            elif failing and usual_part < self.BUSY and now >= self.due[i]:
-                cap = self.STEPS[max(self.STEPS.index(cap) - 1, 0)]
-            elif cap < 1.0 and now >= self.due[i] and part <= self.WELL:
-                cap = self.STEPS[self.STEPS.index(cap) + 1]
+            elif failing and usual_part < self.BUSY and settled < self.SPENT * self.usual[i]:
+                cap = self.TRIAL_SHARE
+            elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
+                cap = 1.0
             most = self.CUT_OFF if silent and well else self.CEILING
             if cap == self.cap[i] or cap < self.cap[i] and lost + weight[i] * (self.cap[i] - cap) > most * whole:
                 continue
             lost += weight[i] * (self.cap[i] - cap)
-            self.due[i] = now + (self.RAISE if cap else self.rest[i] * self.uniform(1.0, 1.2))
+            self.due[i] = now + (self.TRIAL if cap else self.rest[i] * self.uniform(1.0, 1.2))
             if not cap:
                 self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
             elif cap == 1.0:
@@ -255,7 +254,7 @@
             self.cap[i] = cap
 
     def begin_trial(self, i: int, now: float) -> None:
-        self.cap[i], self.due[i] = self.STEPS[0], now + self.RAISE
+        self.cap[i], self.due[i] = self.TRIAL_SHARE, now + self.TRIAL
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
 
 
