--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -170,14 +170,14 @@
     HALF = 1.5  # seconds in which evidence loses half its weight: two or three report cycles
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
     FAILING = 0.35  # voided part of the tries from which a worker is failing ...
-    CONTRAST = 3.0  # ... if also this many times the median part, so that overload condemns none ...
+    CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none ...
     PACE = 1.6  # ... and what it settles takes at most this many times as usual: more, and it is only overfull
     SILENT = 0.9  # from this voided part on a failing worker is withdrawn at any pace
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
     BUSY = 0.08  # median voided part from which no slow worker's share is moved: the others have no room
     SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is slow, one above is overfull
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
-    CUT_OFF = 0.8  # ... but for silent workers, if a quarter of the fleet does well: zones cut off or lost
+    CUT_OFF = 0.8  # ... but for silent ones, if a quarter of the fleet does well: zones cut off or lost
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles with their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
@@ -228,21 +228,20 @@
         peers = [i for i in weight if self.cap[i] >= 0.5 and self.tries[i] >= 1.0]
         if len(peers) < 2:
             return
-        well = sorted(map(self.part, peers))[len(peers) // 4] < self.BUSY
-        usual_part, usual_pace = median(map(self.part, peers)), median(map(self.pace, peers)) or 1.0
+        parts = sorted(map(self.part, peers))
+        usual_part, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
+        usual_pace = median(map(self.pace, peers)) or 1.0
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap = self.part(i), self.cap[i]
-            least = self.CONTRAST * usual_part
-            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, least)
+            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
             settled, brisk = self.tries[i] - self.voided[i], self.pace(i) <= self.PACE * usual_pace
-            silent = self.voided[i] >= self.ENOUGH and part >= self.SILENT and (failing or well)
-            if (silent or failing) and (brisk or settled < 0.5):
+            if failing and (brisk or settled < 0.5):
                 cap = 0.0
-            elif failing and usual_part < self.BUSY and settled < self.SPENT * self.usual[i]:
+            elif failing and not busy and settled < self.SPENT * self.usual[i]:
                 cap = self.TRIAL_SHARE
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0
-            most = self.CUT_OFF if silent and well else self.CEILING
+            most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
             if cap == self.cap[i] or cap < self.cap[i] and lost + weight[i] * (self.cap[i] - cap) > most * whole:
                 continue
             lost += weight[i] * (self.cap[i] - cap)
@@ -253,6 +252,10 @@
                 self.rest[i] = self.REST
             self.cap[i] = cap
 
+    def hurry(self, now: float, workers: Iterable[int]) -> None:
+        for i in workers:
+            self.due[i] = min(self.due[i], now)
+
     def begin_trial(self, i: int, now: float) -> None:
         self.cap[i], self.due[i] = self.TRIAL_SHARE, now + self.TRIAL
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
@@ -341,6 +344,7 @@
 class Proxy:
     """A joined proxy: for each product the tables it may be using, newest last, with the mark that ends doubt."""
 
+    zone: str
     holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
     bound_at: float = LONG_AGO
 
@@ -411,7 +415,10 @@
                     self.health.reset(i)
             case Joined():
                 self.account.forget(event.proxy)
-                self.proxies[event.proxy] = Proxy()
+                self.proxies[event.proxy] = Proxy(event.zone)
+                # A zone whose first proxy is back can be reached again: its workers need not rest on.
+                if sum(proxy.zone == event.zone for proxy in self.proxies.values()) == 1:
+                    self.health.hurry(now, [i for i, z in enumerate(self.fleet.zones) if z == event.zone])
             case Left():
                 self.account.forget(event.proxy)
                 self.proxies.pop(event.proxy, None)
