--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -252,9 +252,10 @@
                 self.rest[i] = self.REST
             self.cap[i] = cap
 
-    def hurry(self, now: float, workers: Iterable[int]) -> None:
+    def regain(self, workers: Iterable[int]) -> None:
         for i in workers:
-            self.due[i] = min(self.due[i], now)
+            if self.out(i):
+                self.reset(i)
 
     def begin_trial(self, i: int, now: float) -> None:
         self.cap[i], self.due[i] = self.TRIAL_SHARE, now + self.TRIAL
@@ -416,9 +417,9 @@
             case Joined():
                 self.account.forget(event.proxy)
                 self.proxies[event.proxy] = Proxy(event.zone)
-                # A zone whose first proxy is back can be reached again: its workers need not rest on.
+                # A zone whose first proxy is back can be reached again; a start that the list tells still ramps.
                 if sum(proxy.zone == event.zone for proxy in self.proxies.values()) == 1:
-                    self.health.hurry(now, [i for i, z in enumerate(self.fleet.zones) if z == event.zone])
+                    self.health.regain([i for i, z in enumerate(self.fleet.zones) if z == event.zone])
             case Left():
                 self.account.forget(event.proxy)
                 self.proxies.pop(event.proxy, None)
