--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -184,6 +184,7 @@
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
+        self.calm = 0.0  # the median worker's pace when few void
         self.tries: list[float] = []
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
@@ -230,11 +231,13 @@
             return
         parts = sorted(map(self.part, peers))
         usual_part, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
-        usual_pace = median(map(self.pace, peers)) or 1.0
+        if not busy:
+            self.calm += 0.02 * (median(map(self.pace, peers)) - self.calm) if self.calm else median(
+                map(self.pace, peers))
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap = self.part(i), self.cap[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
-            settled, brisk = self.tries[i] - self.voided[i], self.pace(i) <= self.PACE * usual_pace
+            settled, brisk = self.tries[i] - self.voided[i], self.pace(i) <= self.PACE * self.calm
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
             elif failing and not busy and settled < self.SPENT * self.usual[i]:
@@ -268,44 +271,49 @@
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.75  # median settling time, in SLA times, taken for overload
-    CALM = 0.6  # of either bound: below it the gate opens again (hysteresis)
-    CLOSE = 0.2  # of the offered work refused more for each step in overload
-    OPEN = 0.1  # let in again for each calm step: slower, as a jam that returns costs more
+    CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
+    LESS, MORE = 0.9, 1.06  # times what is let in for each beat in overload, and for each calm one
+    LEAST = 0.5  # of the best settled rate is let in at least: a jam settles little, but not for want of capacity
+    FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
-    MOST = 0.85  # of all work refused at most
 
     def __init__(self, products: tuple[Product, ...]) -> None:
         # Work is not told; the SLA time stands for it, as longer work is given more time.
         self.products = products
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
-        self.asked = [1.0] * len(products)
+        self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
+        self.came = [0.0] * len(products)  # txns since the last beat
         self.names = {product.name: k for k, product in enumerate(products)}
-        self.cut = 0.0
-        self.next = 0.0
-
-    def came(self, name: str, txns: int) -> None:
-        k = self.names.get(name)
-        if k is not None:
-            self.asked[k] += txns
+        self.settled = self.rate = self.best = 0.0  # since the last beat; a second, smoothed; the best of late
+        self.target = NEVER  # txns a second to let in
+        self.last = NEVER
 
     def step(self, now: float, voided: float, pace: float) -> None:
-        """Move the cut by the median worker's voided part and pace; a few bad workers don't move a median."""
-        if now < self.next:
+        """Move what is let in by the median worker's voided part and pace; a few bad workers don't move a median."""
+        self.last = min(self.last, now)
+        if now < self.last + self.BEAT:
             return
-        self.next = now + self.BEAT
-        self.asked = [0.8 * asked for asked in self.asked]
-        work = [asked * product.sla for asked, product in zip(self.asked, self.products, strict=True)]
-        sla = sum(w * product.sla for w, product in zip(work, self.products, strict=True)) / sum(work)
+        span, self.last = now - self.last, now
+        self.asked = [a + (max(came, 0.1) / span - a) / 2 for a, came in zip(self.asked, self.came, strict=True)]
+        self.rate += (self.settled / span - self.rate) / 2
+        self.best = max(self.rate, self.FORGET * self.best)
+        self.came, self.settled = [0.0] * len(self.products), 0.0
+        sla = sum(a * product.sla for a, product in zip(self.asked, self.products, strict=True)) / sum(self.asked)
         stress = max(voided / self.VOIDED, pace / (self.SLOW * sla))
         if stress > 1.0:
-            self.cut = min(self.cut + self.CLOSE * min(stress - 1.0, 1.0), self.MOST)
-        elif stress < self.CALM:
-            self.cut = max(self.cut - self.OPEN, 0.0)
+            self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
+        elif stress < self.CALM and self.target < NEVER:
+            self.target *= self.MORE
+            if self.target > sum(self.asked):
+                self.target = NEVER
+
+    def cut(self) -> float:
+        return max(0.0, 1.0 - self.target / sum(self.asked))
 
     def levels(self) -> list[float]:
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = [asked * product.sla for asked, product in zip(self.asked, self.products, strict=True)]
-        rest, shares = self.cut * sum(work), [1.0] * len(work)
+        rest, shares = self.cut() * sum(work), [1.0] * len(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
@@ -321,6 +329,7 @@
     shares: dict[int, float]
     parts: dict[int, float]
     level: float
+    retry: int
     clear_at: float = NEVER
 
 
@@ -366,7 +375,6 @@
         random = Random(trade.seed)
         self.uniform = random.uniform
         self.products: tuple[Product, ...] = trade.products
-        self.retry = [self._retry(product, trade.usual_retry) for product in trade.products]
         self.usual_retry = trade.usual_retry
         self.must_ask, self.ask_every = trade.must_ask, trade.duties.ask_every
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
@@ -386,11 +394,6 @@
         self.probes: set[int] = set()
         self.told, self.noted = False, dict[int, float]()
 
-    @staticmethod
-    def _retry(product: Product, usual: int) -> int:
-        # Danger: an effect twice. Only an inquiry-like txn may be tried again after a try that may have run.
-        return 1
-
     # Events: what is known.
 
     def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
@@ -429,6 +432,8 @@
                 self._answered(event.proxy, event.mark, event.took)
             case Met():
                 i = self.fleet.index.get(event.worker)
+                if self.gate:
+                    self.gate.settled += event.tries - event.voided
                 if i is not None and not self.health.out(i):
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case Probed():
@@ -440,7 +445,8 @@
                     else:
                         self.health.due[i] = now + 1.0
             case Asked() if self.gate:
-                self.gate.came(event.product, event.txns)
+                if event.product in self.gate.names:
+                    self.gate.came[self.gate.names[event.product]] += event.txns
 
     def _answered(self, proxy: int, mark: int, took: float) -> None:
         if mark not in self.account.sent or proxy not in self.account.sent[mark].awaited:
@@ -482,7 +488,10 @@
         if self.gate and heard:
             self.gate.step(now, median(map(self.health.part, heard)), median(map(self.health.pace, heard)))
             levels = self.gate.levels()
-        wanted = Wanted(parts, {i: weight[i] * parts[i] for i in weight}, levels)
+        # Danger: an effect twice. No product is tried again but on proof that the first try never ran, and in
+        # overload none at all: a second try at a full worker's neighbour fills that one too.
+        retry = int(min(levels) == 1.0)
+        wanted = Wanted(parts, {i: weight[i] * parts[i] for i in weight}, levels, retry)
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         for table in self._in_use():
@@ -568,10 +577,11 @@
             for table in dict.fromkeys(t for p in self.proxies.values() for t, _ in p.holds.get(k, ())):
                 users = {p: 1.0 for p, proxy in self.proxies.items()
                          if proxy.holds.get(k) and proxy.holds[k][-1][0] is table}
-                if users and abs(table.level - level) > 0.01 and fits(users, ordinary=False):
+                stale = abs(table.level - level) > 0.01 or table.retry != wanted.retry
+                if users and stale and fits(users, ordinary=False):
                     spend(users)
-                    orders.append(Admit(table.number, k, self.retry[k], level))
-                    table.level = level
+                    orders.append(Admit(table.number, k, wanted.retry, level))
+                    table.level, table.retry = level, wanted.retry
         # New tables, laid where nobody is bound yet: no line but the asking.
         size = {k: self._distance(self.current.get(k), wanted.shares) for k in range(len(self.products))}
         everyone = False
@@ -633,10 +643,10 @@
             number = number % 65000 + 1
         self.last_number = number
         self.numbers.add(number)
-        table = Table(number, dict(wanted.shares), dict(wanted.parts), wanted.levels[product])
+        table = Table(number, dict(wanted.shares), dict(wanted.parts), wanted.levels[product], wanted.retry)
         orders.extend(Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
-        if self.retry[product] != self.usual_retry or table.level < 1.0:
-            orders.append(Admit(number, product, self.retry[product], table.level))
+        if table.retry != self.usual_retry or table.level < 1.0:
+            orders.append(Admit(number, product, table.retry, table.level))
         return table
 
     @staticmethod
@@ -675,5 +685,6 @@
     parts: dict[int, float]
     shares: dict[int, float]
     levels: list[float]
+    retry: int
     out: set[int] = field(default_factory=set)
     probes: list[int] = field(default_factory=list)
