--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -272,7 +272,8 @@
     VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.75  # median settling time, in SLA times, taken for overload
     CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
-    LESS, MORE = 0.9, 1.06  # times what is let in for each beat in overload, and for each calm one
+    LESS = 0.9  # times what is let in for each beat in overload
+    BACK, MORE = 1.3, 1.1  # for each calm beat, up to what the fleet has settled at best, and beyond that
     LEAST = 0.5  # of the best settled rate is let in at least: a jam settles little, but not for want of capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -303,7 +304,7 @@
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM and self.target < NEVER:
-            self.target *= self.MORE
+            self.target *= self.BACK if self.target < self.best else self.MORE
             if self.target > sum(self.asked):
                 self.target = NEVER
 
