--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -167,7 +167,7 @@
 class Health:
     """Judges workers by what proxies met, in contrast to the other workers and to a worker's own usual pace."""
 
-    HALF = 1.5  # seconds in which evidence loses half its weight: two or three report cycles
+    HALF = 0.8  # seconds in which evidence loses half its weight: a report cycle or two
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
     FAILING = 0.35  # voided part of the tries from which a worker is failing ...
     CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none ...
