--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -180,6 +180,7 @@
     CUT_OFF = 0.8  # ... but for silent ones, if a quarter of the fleet does well: zones cut off or lost
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles with their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
+    JAMMED_SHARE = 0.5  # of its listed weight for one that settles little, at a poor pace: it may be slow or overfull
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
 
     def __init__(self, random: Random) -> None:
@@ -241,7 +242,7 @@
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
             elif failing and not busy and settled < self.SPENT * self.usual[i]:
-                cap = self.TRIAL_SHARE
+                cap = min(cap, self.JAMMED_SHARE)
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0
             most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
