--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -12,81 +12,59 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from statistics import median
 
-from dunlinlug.interface import (
-    Admit,
-    Answered,
-    Asked,
-    Bind,
-    Channel,
-    Clear,
-    Event,
-    Follow,
-    Joined,
-    Left,
-    Listed,
-    Mark,
-    Met,
-    Note,
-    Order,
-    Probe,
-    Probed,
-    Product,
-    Share,
-    Trade,
-    Wake,
-    Withdraw,
-    Worker,
-)
-
-LONG_AGO = float("-inf")
-NEVER = float("inf")
+from dunlinlug import interface as face
 
 
 class Fleet:
     """The listed workers, in parallel arrays under an index that a worker keeps for good."""
 
-    def __init__(self, warm_after: float) -> None:
-        self.warm_after = warm_after
+    def __init__(self) -> None:
         self.index: dict[str, int] = {}
         self.ids: list[str] = []
         self.zones: list[str] = []
         self.ready: list[bool] = []
-        self.gone: list[bool] = []
         self.weight: list[float | None] = []
         self.since: list[float] = []
 
-    def fold(self, news: Listed) -> list[int]:
-        """Take in news of the list; tells which workers have a new start or are new."""
-        if news.form == "failed":
-            return []
-        named = {entry.id for entry in news.workers}
-        if news.form != "changes":
-            for i, name in enumerate(self.ids):
-                if name not in named:
-                    self.ready[i], self.gone[i] = False, True
-        return [i for entry in news.workers if (i := self._entry(entry)) is not None]
-
-    def _entry(self, entry: Worker) -> int | None:
-        i = self.index.setdefault(entry.id, len(self.ids))
-        fresh = i == len(self.ids)
-        if fresh:
-            for column in (self.ids, self.zones, self.ready, self.gone, self.weight, self.since):
-                column.append(None)
-            self.ids[i], self.since[i] = entry.id, LONG_AGO
-        since = LONG_AGO if entry.since is None else entry.since
-        fresh = fresh or since > self.since[i]
-        self.zones[i], self.weight[i], self.since[i] = entry.zone, entry.weight, max(since, self.since[i])
-        self.ready[i], self.gone[i] = entry.state == "ready", entry.state != "ready"
-        return i if fresh else None
+    def fold(self, news: face.Listed) -> list[int]:
+        """Take in news of the list; tells which workers are new or have a new start."""
+        if news.form in ("whole", "kept"):
+            named = {entry.id for entry in news.workers}
+            self.ready = [ready and name in named for name, ready in zip(self.ids, self.ready, strict=True)]
+        fresh = []
+        for entry in news.workers:
+            i = self.index.setdefault(entry.id, len(self.ids))
+            since = -inf if entry.since is None else entry.since
+            if i == len(self.ids):
+                for column, value in ((self.ids, entry.id), (self.zones, entry.zone), (self.ready, False),
+                                      (self.weight, None), (self.since, since)):
+                    column.append(value)
+                fresh.append(i)
+            elif since > self.since[i]:
+                self.since[i] = since
+                fresh.append(i)
+            self.zones[i], self.weight[i], self.ready[i] = entry.zone, entry.weight, entry.state == "ready"
+        return fresh
 
     def listed_weight(self) -> dict[int, float]:
         """The weight of each ready worker: as listed, or the average where the list tells none."""
-        told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w is not None and w > 0]
-        usual = sum(told) / len(told) if told else 1.0
-        return {i: self.weight[i] or usual for i, ready in enumerate(self.ready) if ready}
+        told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w]
+        return {i: self.weight[i] or sum(told) / len(told) if told else 1.0
+                for i, ready in enumerate(self.ready) if ready}
+
+
+@dataclass
+class Sent:
+    """One reply's messages: their stretch of the channel's lines, what had left it then, who has yet to answer."""
+
+    start: float
+    end: float
+    left: float
+    awaited: set[int]
 
 
 class Account:
@@ -95,7 +73,7 @@
     SAMPLE = 0.1  # seconds of usual drain below which an answer's time is mostly the way, not the channel
     SLOWEST = 0.1  # of the usual pace; below this an estimate would stop ordinary orders altogether
 
-    def __init__(self, channel: Channel) -> None:
+    def __init__(self, channel: face.Channel) -> None:
         self.channel = channel
         self.rate = channel.lines_per_s
         self.issued = 0.0  # lines ordered since the start
@@ -119,20 +97,20 @@
         return self.channel.messages_most - len(times)
 
     def book(self, number: int, now: float, lines: dict[int, float]) -> None:
-        start, before = self.issued, self.left
+        start = self.issued
         self.issued += sum(lines.values())
-        self.sent[number] = Sent(now, start, self.issued, before, set(lines))
+        self.sent[number] = Sent(start, self.issued, self.left, set(lines))
         for proxy in lines:
             self.written.setdefault(proxy, deque()).append(now)
 
     def answered(self, proxy: int, number: int, took: float) -> None:
-        if number not in self.sent:
-            return
-        self.left = max(self.left, self.sent[number].start)
-        for earlier in list(self.sent):
+        self.left = max(self.left, self.sent[number].start)  # the channel keeps the order
+        for earlier in self.upto(number):
             self._settle(earlier, proxy, took if earlier == number else None)
-            if earlier == number:
-                break
+
+    def upto(self, number: int) -> list[int]:
+        marks = list(self.sent)
+        return marks[: marks.index(number) + 1]
 
     def forget(self, proxy: int) -> None:
         self.written.pop(proxy, None)
@@ -153,19 +131,8 @@
             self.rate = min(max(blend, self.SLOWEST * self.channel.lines_per_s), self.channel.lines_per_s)
 
 
-@dataclass
-class Sent:
-    """One reply's messages: when, which stretch of the channel's lines, and who has yet to answer."""
-
-    at: float
-    start: float
-    end: float
-    left: float
-    awaited: set[int]
-
-
 class Health:
-    """Judges workers by what proxies met, in contrast to the other workers and to a worker's own usual pace."""
+    """Judges workers by what proxies met, in contrast to the others and to what is usual for them."""
 
     HALF = 0.8  # seconds in which evidence loses half its weight: a report cycle or two
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
@@ -176,30 +143,32 @@
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
     BUSY = 0.08  # median voided part from which no slow worker's share is moved: the others have no room
     SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is slow, one above is overfull
+    LEARN = 0.03  # of each report goes into what is usual: dozens of reports
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent ones, if a quarter of the fleet does well: zones cut off or lost
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles with their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
-    JAMMED_SHARE = 0.5  # of its listed weight for one that settles little, at a poor pace: it may be slow or overfull
+    JAMMED_SHARE = 0.5  # for one that settles little, at a poor pace: it may be slow or overfull
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
         self.calm = 0.0  # the median worker's pace when few void
-        self.tries: list[float] = []
+        self.tries: list[float] = []  # decayed, as are the next two
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
-        self.usual: list[float] = []  # settled tries in a span when all is well
+        self.usual: list[float] = []  # settled tries when all is well
         self.heard_at: list[float] = []
-        self.cap: list[float] = []  # the most of its listed weight: 0 when withdrawn, else TRIAL_SHARE or 1
+        self.cap: list[float] = []  # the most of its listed weight; 0 when withdrawn
         self.due: list[float] = []  # when the next step up, or the trial, may come
         self.rest: list[float] = []
 
     def grow(self, size: int) -> None:
-        while len(self.tries) < size:
-            for column, start in ((self.tries, 0.0), (self.voided, 0.0), (self.took, 0.0), (self.usual, 0.0),
-                                  (self.heard_at, 0.0), (self.cap, 1.0), (self.due, 0.0), (self.rest, self.REST)):
-                column.append(start)
+        for _ in range(size - len(self.tries)):
+            for column in (self.tries, self.voided, self.took, self.usual, self.heard_at, self.due):
+                column.append(0.0)
+            self.cap.append(1.0)
+            self.rest.append(self.REST)
 
     def reset(self, i: int) -> None:
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
@@ -213,7 +182,7 @@
         self.took[i] = self.took[i] * fade + took * (tries - voided)
         settled = self.tries[i] - self.voided[i]
         if self.cap[i] == 1.0 and settled > self.voided[i]:
-            self.usual[i] += 0.05 * (settled - self.usual[i]) if self.usual[i] else settled
+            self.usual[i] += self.LEARN * (settled - self.usual[i]) if self.usual[i] else settled
 
     def part(self, i: int) -> float:
         return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
@@ -225,7 +194,7 @@
         return self.cap[i] == 0.0
 
     def judge(self, now: float, weight: dict[int, float]) -> None:
-        """Step each worker's cap down on evidence, the worst first, and up again after a while of good evidence."""
+        """Step caps down on evidence, the worst worker first, and up again after a while of good evidence."""
         whole, lost = sum(weight.values()), sum(w * (1.0 - self.cap[i]) for i, w in weight.items())
         peers = [i for i in weight if self.cap[i] >= 0.5 and self.tries[i] >= 1.0]
         if len(peers) < 2:
@@ -233,8 +202,8 @@
         parts = sorted(map(self.part, peers))
         usual_part, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
         if not busy:
-            self.calm += 0.02 * (median(map(self.pace, peers)) - self.calm) if self.calm else median(
-                map(self.pace, peers))
+            pace = median(map(self.pace, peers))
+            self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap = self.part(i), self.cap[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
@@ -257,9 +226,8 @@
             self.cap[i] = cap
 
     def regain(self, workers: Iterable[int]) -> None:
-        for i in workers:
-            if self.out(i):
-                self.reset(i)
+        for i in filter(self.out, workers):
+            self.reset(i)
 
     def begin_trial(self, i: int, now: float) -> None:
         self.cap[i], self.due[i] = self.TRIAL_SHARE, now + self.TRIAL
@@ -279,7 +247,7 @@
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
-    def __init__(self, products: tuple[Product, ...]) -> None:
+    def __init__(self, products: tuple[face.Product, ...]) -> None:
         # Work is not told; the SLA time stands for it, as longer work is given more time.
         self.products = products
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
@@ -287,11 +255,11 @@
         self.came = [0.0] * len(products)  # txns since the last beat
         self.names = {product.name: k for k, product in enumerate(products)}
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second, smoothed; the best of late
-        self.target = NEVER  # txns a second to let in
-        self.last = NEVER
+        self.target = inf  # txns a second to let in
+        self.last = inf
 
     def step(self, now: float, voided: float, pace: float) -> None:
-        """Move what is let in by the median worker's voided part and pace; a few bad workers don't move a median."""
+        """Move what is let in by the median worker's voided part and pace, which a few bad workers don't move."""
         self.last = min(self.last, now)
         if now < self.last + self.BEAT:
             return
@@ -304,10 +272,10 @@
         stress = max(voided / self.VOIDED, pace / (self.SLOW * sla))
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
-        elif stress < self.CALM and self.target < NEVER:
+        elif stress < self.CALM and self.target < inf:
             self.target *= self.BACK if self.target < self.best else self.MORE
             if self.target > sum(self.asked):
-                self.target = NEVER
+                self.target = inf
 
     def cut(self) -> float:
         return max(0.0, 1.0 - self.target / sum(self.asked))
@@ -332,7 +300,7 @@
     parts: dict[int, float]
     level: float
     retry: int
-    clear_at: float = NEVER
+    clear_at: float = inf
 
 
 @dataclass(eq=False)
@@ -343,13 +311,10 @@
     table: Table
     old: Table
     awaited: set[int]
-    asked: int | None = None  # the mark of the first asking
-    asked_at: float = 0.0
+    asked: int  # the mark of the first asking
+    asked_at: float
     bound: bool = False
-    answered_at: float = NEVER
-
-    def ready(self) -> bool:
-        return self.bound or (self.asked is not None and not self.awaited)
+    answered_at: float = inf
 
 
 @dataclass(eq=False)
@@ -358,7 +323,7 @@
 
     zone: str
     holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
-    bound_at: float = LONG_AGO
+    bound_at: float = -inf
 
 
 class Balancer:
@@ -373,14 +338,14 @@
     KEPT_BACK = 0.4  # of the lines that may wait, kept for withdrawals and joins
     KEPT_MESSAGES = 10  # messages for each proxy in the span that ordinary changes leave to withdrawals and joins
 
-    def __init__(self, trade: Trade) -> None:
+    def __init__(self, trade: face.Trade) -> None:
         random = Random(trade.seed)
         self.uniform = random.uniform
-        self.products: tuple[Product, ...] = trade.products
+        self.products: tuple[face.Product, ...] = trade.products
         self.usual_retry = trade.usual_retry
         self.must_ask, self.ask_every = trade.must_ask, trade.duties.ask_every
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
-        self.fleet = Fleet(trade.duties.warm_after)
+        self.fleet, self.warm_after = Fleet(), trade.duties.warm_after
         self.account = Account(trade.channel)
         self.health = Health(random)
         self.gate = Gate(trade.products) if trade.admits == "share" else None
@@ -392,23 +357,23 @@
         self.versions = self.last_mark = self.last_number = self.last_token = 0
         self.numbers: set[int] = set()  # table numbers in use
         self.armed: set[float] = set()
-        self.following, self.ask_at, self.ask_wait = False, LONG_AGO, 0.5
+        self.following, self.ask_at, self.ask_wait = False, -inf, 0.5
         self.probes: set[int] = set()
         self.told, self.noted = False, dict[int, float]()
 
     # Events: what is known.
 
-    def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
+    def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]:
         for event in events:
             self._learn(now, event)
         if self.sliced:
             told, self.told = self.told, True
-            return [] if told else [Note("slices are not decided by this version")]
+            return [] if told else [face.Note("slices are not decided by this version")]
         return self._emit(now, self._plan(now))
 
-    def _learn(self, now: float, event: Event) -> None:
+    def _learn(self, now: float, event: face.Event) -> None:
         match event:
-            case Listed():
+            case face.Listed():
                 if event.form == "failed":
                     self.following = False
                     self.ask_at = now + self.ask_wait * self.uniform(0.5, 1.0)
@@ -419,26 +384,26 @@
                 self.health.grow(len(self.fleet.ids))
                 for i in fresh:
                     self.health.reset(i)
-            case Joined():
+            case face.Joined():
                 self.account.forget(event.proxy)
                 self.proxies[event.proxy] = Proxy(event.zone)
                 # A zone whose first proxy is back can be reached again; a start that the list tells still ramps.
                 if sum(proxy.zone == event.zone for proxy in self.proxies.values()) == 1:
                     self.health.regain([i for i, z in enumerate(self.fleet.zones) if z == event.zone])
-            case Left():
+            case face.Left():
                 self.account.forget(event.proxy)
                 self.proxies.pop(event.proxy, None)
                 for change in self.changes.values():
                     change.awaited.discard(event.proxy)
-            case Answered() if event.proxy in self.proxies:
+            case face.Answered() if event.proxy in self.proxies:
                 self._answered(event.proxy, event.mark, event.took)
-            case Met():
+            case face.Met():
                 i = self.fleet.index.get(event.worker)
                 if self.gate:
                     self.gate.settled += event.tries - event.voided
                 if i is not None and not self.health.out(i):
                     self.health.met(i, now, event.tries, event.voided, event.took)
-            case Probed():
+            case face.Probed():
                 i = self.fleet.index.get(event.worker)
                 self.probes.discard(i)
                 if i is not None and self.health.out(i):
@@ -446,15 +411,14 @@
                         self.health.begin_trial(i, now)
                     else:
                         self.health.due[i] = now + 1.0
-            case Asked() if self.gate:
+            case face.Asked() if self.gate:
                 if event.product in self.gate.names:
                     self.gate.came[self.gate.names[event.product]] += event.txns
 
     def _answered(self, proxy: int, mark: int, took: float) -> None:
         if mark not in self.account.sent or proxy not in self.account.sent[mark].awaited:
             return  # late answer to a mark that is settled
-        order = list(self.account.sent)
-        passed = set(order[: order.index(mark) + 1])
+        passed = set(self.account.upto(mark))
         self.account.answered(proxy, mark, took)
         for change in self.changes.values():
             if change.asked in passed:
@@ -470,9 +434,9 @@
     def _part(self, i: int, now: float) -> tuple[float, float]:
         """A ready worker's wanted part of its listed weight, and the most it may have without danger."""
         age, cap = now - self.fleet.since[i], self.health.cap[i]
-        part = min(1.0, self.STEP * (1 + max(0, int(age / self.RAISE)))) if age < self.fleet.warm_after else 1.0
+        part = min(1.0, self.STEP * (1 + max(0, int(age / self.RAISE)))) if age < self.warm_after else 1.0
         # A trial's first share is in the tables before the trial; a jammed worker empties while that is bound.
-        return min(part, cap or self.STEP), min(part if part < 1.0 else NEVER, cap if cap < 0.5 else NEVER)
+        return min(part, cap or self.STEP), min(part if part < 1.0 else inf, cap if cap < 0.5 else inf)
 
     def _plan(self, now: float) -> "Wanted":
         weight = self.fleet.listed_weight()
@@ -500,7 +464,7 @@
             for i, part in table.parts.items():
                 if part > most.get(i, 0.0) + 1e-9:
                     wanted.out.add(i)
-        cold = {i for i in weight if most[i] < NEVER and self.health.cap[i] >= 0.5}
+        cold = {i for i in weight if most[i] < inf and self.health.cap[i] >= 0.5}
         if weight and not any(i in weight and i not in cold and i not in wanted.out for i in weight):
             wanted.out -= cold  # Danger: nobody left; where none is warm, shares alone must do
         for i in weight:
@@ -517,11 +481,11 @@
         """Move each change on as far as answers and timers let it."""
         patience = self.SILENT + self.account.delay()
         for product, change in list(self.changes.items()):
-            if change.asked is not None and change.awaited and now >= change.asked_at + patience:
+            if now >= change.asked_at + patience:
                 change.awaited.clear()  # silent proxies leave the awaited set
-            if change.bound and change.answered_at == NEVER:
+            if change.bound and change.answered_at == inf:
                 slow = [p for p in self.proxies.values() if self._unsettled(p, product, change.table)]
-                if not [p for p in slow if p.bound_at == LONG_AGO or now < p.bound_at + patience]:
+                if not [p for p in slow if p.bound_at == -inf or now < p.bound_at + patience]:
                     change.answered_at = now
                     change.old.clear_at = now + self.LIFETIME
             if now >= change.answered_at + self.LIFETIME:
@@ -533,13 +497,13 @@
         return not (len(held) == 1 and held[0][0] is table and held[0][1] < 0)
 
     def _may_bind(self, change: Change) -> bool:
-        return change.ready() and all(other.ready() for other in self.changes.values()
+        return not change.awaited and all(not other.awaited for other in self.changes.values()
                                       if other.version < change.version - self.WINDOW)
 
     # The difference, and the only place that orders.
 
-    def _emit(self, now: float, wanted: "Wanted") -> list[Order]:
-        orders: list[Order] = []
+    def _emit(self, now: float, wanted: "Wanted") -> list[face.Order]:
+        orders: list[face.Order] = []
         lines: dict[int, float] = {}
         head = self.account.channel.message_lines + 1.0
         mark = self.last_mark % 65000 + 1
@@ -564,7 +528,7 @@
         for i, cap in caps.items():
             h = self.health
             if cap != self.noted.get(i, 1.0):
-                orders.append(Note(f"{self.fleet.ids[i]} to {cap}: {h.part(i):.2f} of {h.tries[i]:.0f} tries "
+                orders.append(face.Note(f"{self.fleet.ids[i]} to {cap}: {h.part(i):.2f} of {h.tries[i]:.0f} tries "
                                    f"voided, settled in {h.pace(i):.2f} s"))
         self.noted = caps
         for i in sorted(wanted.out ^ self.out):
@@ -572,7 +536,7 @@
                     if any(i in t.shares for held in proxy.holds.values() for t, _ in held)}
             if fits(cost, ordinary=i not in wanted.out):
                 spend(cost)
-                orders.append(Withdraw(self.fleet.ids[i], i in wanted.out))
+                orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
         # Levels next, in the tables in use: refusals must not wait behind a change.
         for k, level in enumerate(wanted.levels):
@@ -582,7 +546,7 @@
                 stale = abs(table.level - level) > 0.01 or table.retry != wanted.retry
                 if users and stale and fits(users, ordinary=False):
                     spend(users)
-                    orders.append(Admit(table.number, k, wanted.retry, level))
+                    orders.append(face.Admit(table.number, k, wanted.retry, level))
                     table.level, table.retry = level, wanted.retry
         # New tables, laid where nobody is bound yet: no line but the asking.
         size = {k: self._distance(self.current.get(k), wanted.shares) for k in range(len(self.products))}
@@ -617,51 +581,51 @@
                     if not fits(cost, ordinary) or ordinary and busy:
                         continue
                     spend(cost)
-                    orders.append(Bind(p, k, table.number))
+                    orders.append(face.Bind(p, k, table.number))
                     proxy.holds.setdefault(k, []).append((table, mark))
                     proxy.bound_at = now
         used = set(map(id, self._in_use()))
         for table in list(self.retired):
             if table.clear_at <= now and id(table) not in used:
-                orders.append(Clear(table.number))
+                orders.append(face.Clear(table.number))
                 self.retired.remove(table)
                 self.numbers.discard(table.number)
         if lines:
             self.last_mark = mark
-            orders.append(Mark(mark, everyone))
+            orders.append(face.Mark(mark, everyone))
             self.account.book(mark, now, lines)
         for i in wanted.probes:
             self.probes.add(i)
-            orders.append(Probe(self.fleet.ids[i]))
+            orders.append(face.Probe(self.fleet.ids[i]))
         if self.must_ask and not self.following and self.ask_at <= now:
             self.following = True
-            orders.append(Follow())
+            orders.append(face.Follow())
         self._wake(now, orders)
         return orders
 
-    def _lay(self, orders: list[Order], product: int, wanted: "Wanted") -> Table:
+    def _lay(self, orders: list[face.Order], product: int, wanted: "Wanted") -> Table:
         number = self.last_number % 65000 + 1
         while number in self.numbers:
             number = number % 65000 + 1
         self.last_number = number
         self.numbers.add(number)
         table = Table(number, dict(wanted.shares), dict(wanted.parts), wanted.levels[product], wanted.retry)
-        orders.extend(Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
+        orders.extend(face.Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
         if table.retry != self.usual_retry or table.level < 1.0:
-            orders.append(Admit(number, product, table.retry, table.level))
+            orders.append(face.Admit(number, product, table.retry, table.level))
         return table
 
     @staticmethod
     def _distance(table: Table | None, shares: dict[int, float]) -> float:
         """How much weight a change would move, as a part of the whole."""
         if table is None:
-            return NEVER
+            return inf
         have, want = sum(table.shares.values()) or 1.0, sum(shares.values()) or 1.0
         moved = sum(abs(table.shares.get(i, 0.0) / have - shares.get(i, 0.0) / want)
                     for i in {**table.shares, **shares})
         return moved if table.shares.keys() ^ shares.keys() or moved > 1e-6 else 0.0
 
-    def _wake(self, now: float, orders: list[Order]) -> None:
+    def _wake(self, now: float, orders: list[face.Order]) -> None:
         """One timer at the next time at which something is due of itself."""
         due = [now + 0.25] if self.changes or self.account.sent or self.retired else []
         due += [self.ask_at] if self.must_ask and not self.following else []
@@ -670,14 +634,14 @@
                 due.append(max(self.health.due[i], now + 0.25))
             elif ready:
                 age = now - self.fleet.since[i]
-                if age < self.fleet.warm_after:
+                if age < self.warm_after:
                     due.append(now + self.RAISE - age % self.RAISE if age >= 0 else now + 0.25)
         self.armed = {at for at in self.armed if at > now}
         if due and (not self.armed or min(self.armed) > min(due) + 0.01):
             at = max(min(due), now + 0.01)
             self.armed.add(at)
             self.last_token += 1
-            orders.append(Wake(at - now, self.last_token))
+            orders.append(face.Wake(at - now, self.last_token))
 
 
 @dataclass
