--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -1,12 +1,12 @@
 """All decisions of a manager: which worker each proxy may use, at what share, and when orders go out.
 
-Call `Balancer(trade)` once at the start of an instance, then `decide(now, events)` for each batch, with the
-clock in float seconds; it returns the orders in the order in which they are to take effect. Events, orders and
-what is read at start are plain types in `dunlinlug/interface.py`. The module reads no clock and does no I/O.
+Call `Balancer(trade)` once at the start of an instance, then `decide(now, events)` for each batch, with the clock
+in float seconds; it returns the orders in the order in which they are to take effect. Events, orders and what is
+read at start are plain types in `dunlinlug/interface.py`. The module reads no clock and does no I/O.
 
-Inside, events change what is known; `_plan` turns that into a wanted state (who is out, which table each product
-should be on, what is asked and timed); `_emit` alone works out the difference to the present state and orders it.
-`docs/design.md` tells how this follows CCU, the concurrent two-phase update, and where it departs from it.
+Events change what is known; `_plan` turns that into a wanted state (who is out, each table's shares and levels);
+`_emit` alone works out the difference to the present state and orders it. `docs/design.md` tells how this follows
+CCU, the concurrent two-phase update, and where it departs from it.
 """
 
 from collections import deque
@@ -33,8 +33,7 @@
     def fold(self, news: face.Listed) -> list[int]:
         """Take in news of the list; tells which workers are new or have a new start."""
         if news.form in ("whole", "kept"):
-            named = {entry.id for entry in news.workers}
-            self.ready = [ready and name in named for name, ready in zip(self.ids, self.ready, strict=True)]
+            self.ready = [False] * len(self.ids)  # whoever a whole list does not name is gone
         fresh = []
         for entry in news.workers:
             i = self.index.setdefault(entry.id, len(self.ids))
@@ -45,21 +44,21 @@
                     column.append(value)
                 fresh.append(i)
             elif since > self.since[i]:
-                self.since[i] = since
                 fresh.append(i)
             self.zones[i], self.weight[i], self.ready[i] = entry.zone, entry.weight, entry.state == "ready"
+            self.since[i] = max(since, self.since[i])
         return fresh
 
     def listed_weight(self) -> dict[int, float]:
         """The weight of each ready worker: as listed, or the average where the list tells none."""
         told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w]
-        return {i: self.weight[i] or sum(told) / len(told) if told else 1.0
-                for i, ready in enumerate(self.ready) if ready}
+        usual = sum(told) / len(told) if told else 1.0
+        return {i: self.weight[i] or usual for i, ready in enumerate(self.ready) if ready}
 
 
 @dataclass
 class Sent:
-    """One reply's messages: their stretch of the channel's lines, what had left it then, who has yet to answer."""
+    """One reply's messages: their stretch of the channel's lines, what had left it by then, who must answer."""
 
     start: float
     end: float
@@ -68,93 +67,77 @@
 
 
 class Account:
-    """The channel account: how many lines may still wait, by what has been ordered and what answers show."""
+    """The channel account: how many lines may still wait, by what was ordered and what answers show."""
 
     SAMPLE = 0.1  # seconds of usual drain below which an answer's time is mostly the way, not the channel
     SLOWEST = 0.1  # of the usual pace; below this an estimate would stop ordinary orders altogether
+    SLACK = 0.05  # seconds added to the span of the limit on messages, against rounding
 
     def __init__(self, channel: face.Channel) -> None:
         self.channel = channel
         self.rate = channel.lines_per_s
-        self.issued = 0.0  # lines ordered since the start
-        self.left = 0.0  # of these, surely out of the channel
-        self.sent: dict[int, Sent] = {}  # marks whose answers are awaited, oldest first
+        self.issued = self.left = 0.0  # lines ordered since the start, and those surely out of the channel
+        self.sent: dict[int, Sent] = {}  # by mark, oldest first
         self.written: dict[int, deque[float]] = {}  # when each joined proxy was written a message
 
     def waiting(self) -> float:
         return self.issued - self.left
 
-    def delay(self) -> float:
-        """How long what is ordered now will take to be answered, about."""
-        return self.waiting() / self.rate + 2 * self.channel.transit
-
-    def messages_left(self, proxy: int, now: float) -> int:
-        if not self.channel.messages_most:
-            return 1 << 30
+    def messages_left(self, proxy: int, now: float) -> float:
         times = self.written.setdefault(proxy, deque())
-        while times and times[0] <= now - self.channel.messages_span - 0.05:
+        while times and times[0] <= now - self.channel.messages_span - self.SLACK:
             times.popleft()
-        return self.channel.messages_most - len(times)
+        return self.channel.messages_most - len(times) if self.channel.messages_most else inf
 
-    def book(self, number: int, now: float, lines: dict[int, float]) -> None:
-        start = self.issued
-        self.issued += sum(lines.values())
-        self.sent[number] = Sent(start, self.issued, self.left, set(lines))
+    def book(self, mark: int, now: float, lines: dict[int, float]) -> None:
+        start, self.issued = self.issued, self.issued + sum(lines.values())
+        self.sent[mark] = Sent(start, self.issued, self.left, set(lines))
         for proxy in lines:
             self.written.setdefault(proxy, deque()).append(now)
 
-    def answered(self, proxy: int, number: int, took: float) -> None:
-        self.left = max(self.left, self.sent[number].start)  # the channel keeps the order
-        for earlier in self.upto(number):
-            self._settle(earlier, proxy, took if earlier == number else None)
-
-    def upto(self, number: int) -> list[int]:
-        marks = list(self.sent)
-        return marks[: marks.index(number) + 1]
-
-    def forget(self, proxy: int) -> None:
-        self.written.pop(proxy, None)
-        for number in list(self.sent):
-            self._settle(number, proxy, None)
-
-    def _settle(self, number: int, proxy: int, took: float | None) -> None:
-        sent = self.sent[number]
-        sent.awaited.discard(proxy)
-        if sent.awaited:
-            return
-        del self.sent[number]
-        self.left = max(self.left, sent.end)
-        lines = sent.end - sent.left
-        if took is not None and lines >= self.SAMPLE * self.channel.lines_per_s:
-            seen = lines / max(took - self.channel.transit, 0.001)
-            blend = (self.rate + seen) / 2
-            self.rate = min(max(blend, self.SLOWEST * self.channel.lines_per_s), self.channel.lines_per_s)
+    def answered(self, proxy: int, mark: int, took: float) -> set[int]:
+        """Settle this mark and all before it for the proxy, as the channel keeps the order; tells which."""
+        passed = list(self.sent)[: list(self.sent).index(mark) + 1]
+        sent = self.sent[mark]
+        self.left = max(self.left, sent.start)
+        self.settle(proxy, passed)
+        if mark not in self.sent and sent.end - sent.left >= self.SAMPLE * self.channel.lines_per_s:
+            seen = (sent.end - sent.left) / max(took - self.channel.transit, 0.001)
+            least = self.SLOWEST * self.channel.lines_per_s
+            self.rate = min(max((self.rate + seen) / 2, least), self.channel.lines_per_s)
+        return set(passed)
+
+    def settle(self, proxy: int, marks: Iterable[int]) -> None:
+        for mark in marks:
+            self.sent[mark].awaited.discard(proxy)
+            if not self.sent[mark].awaited:
+                self.left = max(self.left, self.sent.pop(mark).end)
 
 
 class Health:
-    """Judges workers by what proxies met, in contrast to the others and to what is usual for them."""
+    """Judges workers by what proxies met, in contrast to the others and to what is usual."""
 
     HALF = 0.8  # seconds in which evidence loses half its weight: a report cycle or two
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
     FAILING = 0.35  # voided part of the tries from which a worker is failing ...
-    CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none ...
-    PACE = 1.6  # ... and what it settles takes at most this many times as usual: more, and it is only overfull
-    SILENT = 0.9  # from this voided part on a failing worker is withdrawn at any pace
+    CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none
+    PACE = 1.6  # times the usual pace up to which a failing worker is broken; one beyond may just be overfull
+    SILENT = 0.9  # voided part from which a worker counts as silent for the ceiling
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
-    BUSY = 0.08  # median voided part from which no slow worker's share is moved: the others have no room
-    SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is slow, one above is overfull
+    BUSY = 0.08  # median voided part from which no jammed worker's share is moved: the others have no room
+    SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is jammed or slow
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
-    CUT_OFF = 0.8  # ... but for silent ones, if a quarter of the fleet does well: zones cut off or lost
-    TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles with their lateness
+    CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
+    TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
-    JAMMED_SHARE = 0.5  # for one that settles little, at a poor pace: it may be slow or overfull
-    REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails: about a trouble's length
+    JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
+    REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
         self.calm = 0.0  # the median worker's pace when few void
-        self.tries: list[float] = []  # decayed, as are the next two
+        self.tries: list[float] = []  # fading, as are the next two
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
         self.usual: list[float] = []  # settled tries when all is well
@@ -170,9 +153,9 @@
             self.cap.append(1.0)
             self.rest.append(self.REST)
 
-    def reset(self, i: int) -> None:
+    def start(self, i: int, cap: float, due: float) -> None:
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
-        self.cap[i], self.rest[i] = 1.0, self.REST
+        self.cap[i], self.due[i] = cap, due
 
     def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
         fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
@@ -190,24 +173,20 @@
     def pace(self, i: int) -> float:
         return self.took[i] / max(self.tries[i] - self.voided[i], 0.5)
 
-    def out(self, i: int) -> bool:
-        return self.cap[i] == 0.0
-
     def judge(self, now: float, weight: dict[int, float]) -> None:
         """Step caps down on evidence, the worst worker first, and up again after a while of good evidence."""
         whole, lost = sum(weight.values()), sum(w * (1.0 - self.cap[i]) for i, w in weight.items())
-        peers = [i for i in weight if self.cap[i] >= 0.5 and self.tries[i] >= 1.0]
+        peers = [i for i in weight if self.cap[i] >= self.JAMMED_SHARE and self.tries[i] >= 1.0]
         if len(peers) < 2:
             return
-        parts = sorted(map(self.part, peers))
-        usual_part, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
+        parts, pace = sorted(map(self.part, peers)), median(map(self.pace, peers))
+        best, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
         if not busy:
-            pace = median(map(self.pace, peers))
             self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
-            part, cap = self.part(i), self.cap[i]
-            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * usual_part)
-            settled, brisk = self.tries[i] - self.voided[i], self.pace(i) <= self.PACE * self.calm
+            part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
+            failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
+            brisk = self.pace(i) <= self.PACE * self.calm
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
             elif failing and not busy and settled < self.SPENT * self.usual[i]:
@@ -215,23 +194,12 @@
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0
             most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
-            if cap == self.cap[i] or cap < self.cap[i] and lost + weight[i] * (self.cap[i] - cap) > most * whole:
+            less = weight[i] * (self.cap[i] - cap)
+            if not less or less > 0 and lost + less > most * whole:
                 continue
-            lost += weight[i] * (self.cap[i] - cap)
-            self.due[i] = now + (self.TRIAL if cap else self.rest[i] * self.uniform(1.0, 1.2))
-            if not cap:
-                self.rest[i] = min(2 * self.rest[i], self.REST_MOST)
-            elif cap == 1.0:
-                self.rest[i] = self.REST
-            self.cap[i] = cap
-
-    def regain(self, workers: Iterable[int]) -> None:
-        for i in filter(self.out, workers):
-            self.reset(i)
-
-    def begin_trial(self, i: int, now: float) -> None:
-        self.cap[i], self.due[i] = self.TRIAL_SHARE, now + self.TRIAL
-        self.tries[i] = self.voided[i] = self.took[i] = 0.0
+            lost += less
+            self.cap[i], self.due[i] = cap, now + (self.TRIAL if cap else self.rest[i] * self.uniform(1.0, 1.2))
+            self.rest[i] = self.REST if cap == 1.0 else self.rest[i] if cap else min(2 * self.rest[i], self.REST_MOST)
 
 
 class Gate:
@@ -242,48 +210,46 @@
     SLOW = 0.75  # median settling time, in SLA times, taken for overload
     CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
-    BACK, MORE = 1.3, 1.1  # for each calm beat, up to what the fleet has settled at best, and beyond that
-    LEAST = 0.5  # of the best settled rate is let in at least: a jam settles little, but not for want of capacity
+    BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
+    LEAST = 0.5  # of the best settled rate is always let in: a jam settles little, but not for want of capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
         # Work is not told; the SLA time stands for it, as longer work is given more time.
-        self.products = products
+        self.sla = [product.sla for product in products]
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
-        self.came = [0.0] * len(products)  # txns since the last beat
-        self.names = {product.name: k for k, product in enumerate(products)}
-        self.settled = self.rate = self.best = 0.0  # since the last beat; a second, smoothed; the best of late
+        self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
+        self.settled = 0  # tries since the last beat
+        self.rate = self.best = 0.0  # settled tries a second, smoothed, and the best of late
         self.target = inf  # txns a second to let in
         self.last = inf
 
     def step(self, now: float, voided: float, pace: float) -> None:
-        """Move what is let in by the median worker's voided part and pace, which a few bad workers don't move."""
+        """Go by the median worker's voided part and pace, which a few bad workers don't move."""
         self.last = min(self.last, now)
         if now < self.last + self.BEAT:
             return
         span, self.last = now - self.last, now
-        self.asked = [a + (max(came, 0.1) / span - a) / 2 for a, came in zip(self.asked, self.came, strict=True)]
+        self.asked = [a + (max(n, 0.1) / span - a) / 2 for a, n in zip(self.asked, self.came.values(), strict=True)]
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
-        self.came, self.settled = [0.0] * len(self.products), 0.0
-        sla = sum(a * product.sla for a, product in zip(self.asked, self.products, strict=True)) / sum(self.asked)
-        stress = max(voided / self.VOIDED, pace / (self.SLOW * sla))
+        self.came, self.settled = dict.fromkeys(self.came, 0), 0
+        stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
-        elif stress < self.CALM and self.target < inf:
+        elif stress < self.CALM:
             self.target *= self.BACK if self.target < self.best else self.MORE
-            if self.target > sum(self.asked):
-                self.target = inf
+            self.target = self.target if self.target < sum(self.asked) else inf
 
-    def cut(self) -> float:
-        return max(0.0, 1.0 - self.target / sum(self.asked))
+    def work(self) -> list[float]:
+        return [asked * sla for asked, sla in zip(self.asked, self.sla, strict=True)]
 
     def levels(self) -> list[float]:
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
-        work = [asked * product.sla for asked, product in zip(self.asked, self.products, strict=True)]
-        rest, shares = self.cut() * sum(work), [1.0] * len(work)
+        work = self.work()
+        rest, shares = max(0.0, 1.0 - self.target / sum(self.asked)) * sum(work), [1.0] * len(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
@@ -298,32 +264,41 @@
     number: int
     shares: dict[int, float]
     parts: dict[int, float]
-    level: float
-    retry: int
+    level: tuple[float, int]  # share let in, and the way of trying again
     clear_at: float = inf
 
 
 @dataclass(eq=False)
 class Change:
-    """One product's staged change: laid and asked, ready, bound and asked, cleared."""
+    """One product's staged change: laid and asked, ready once none is awaited, bound and asked, cleared."""
 
     version: int
     table: Table
     old: Table
-    awaited: set[int]
-    asked: int  # the mark of the first asking
+    mark: int  # of the first asking
     asked_at: float
+    awaited: set[int]
     bound: bool = False
     answered_at: float = inf
 
 
 @dataclass(eq=False)
 class Proxy:
-    """A joined proxy: for each product the tables it may be using, newest last, with the mark that ends doubt."""
+    """A joined proxy: for each product the tables it may be using, newest last, with the mark awaited or 0."""
 
     zone: str
     holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
-    bound_at: float = -inf
+    bound_at: float = inf
+
+
+@dataclass
+class Wanted:
+    """What should be: each ready worker's share and part of its weight, levels by product, who is out."""
+
+    shares: dict[int, float]
+    parts: dict[int, float]
+    levels: list[tuple[float, int]]
+    out: set[int]
 
 
 class Balancer:
@@ -332,325 +307,272 @@
     WINDOW = 4  # versions: the paper's four status bits
     SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
     LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
-    RAISE = 5.0  # seconds between a fresh worker's quarter steps: the design's start value
+    RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
-    TURN = 0.5  # seconds of drain that ordinary orders may have waiting: a turn's budget
-    KEPT_BACK = 0.4  # of the lines that may wait, kept for withdrawals and joins
-    KEPT_MESSAGES = 10  # messages for each proxy in the span that ordinary changes leave to withdrawals and joins
+    TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds: a turn's budget
+    KEPT_BACK = 0.4  # of the lines that may wait, kept for withdrawals, levels and joins
+    FULL = 0.98  # of the lines that may wait, for these: the account counts in whole replies
+    KEPT_MESSAGES = 10  # of the messages to a proxy in the span, kept for these
+    BEAT = 0.25  # seconds between looks while something is under way
+    ASK_WAIT = 0.5  # seconds before asking for the list again, doubled by each failure
+    NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
     def __init__(self, trade: face.Trade) -> None:
         random = Random(trade.seed)
         self.uniform = random.uniform
-        self.products: tuple[face.Product, ...] = trade.products
-        self.usual_retry = trade.usual_retry
-        self.must_ask, self.ask_every = trade.must_ask, trade.duties.ask_every
+        self.products, self.usual_retry = len(trade.products), trade.usual_retry
+        self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
-        self.fleet, self.warm_after = Fleet(), trade.duties.warm_after
+        self.fleet = Fleet()
         self.account = Account(trade.channel)
         self.health = Health(random)
         self.gate = Gate(trade.products) if trade.admits == "share" else None
+        self.all_in = 1.0 if self.gate else 1e6  # where levels are rates, a share of 1 would shut a proxy
         self.proxies: dict[int, Proxy] = {}
         self.current: dict[int, Table] = {}
         self.changes: dict[int, Change] = {}
         self.retired: list[Table] = []
         self.out: set[int] = set()
         self.versions = self.last_mark = self.last_number = self.last_token = 0
-        self.numbers: set[int] = set()  # table numbers in use
+        self.numbers: set[int] = set()  # of tables in use
         self.armed: set[float] = set()
-        self.following, self.ask_at, self.ask_wait = False, -inf, 0.5
-        self.probes: set[int] = set()
-        self.told, self.noted = False, dict[int, float]()
+        self.ask_at, self.ask_wait = -inf if trade.must_ask else inf, self.ASK_WAIT
+        self.probing: set[int] = set()
+        self.noted: dict[int, float] = {}
+        self.told = False
 
     # Events: what is known.
 
     def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]:
-        for event in events:
-            self._learn(now, event)
         if self.sliced:
             told, self.told = self.told, True
             return [] if told else [face.Note("slices are not decided by this version")]
+        for event in events:
+            self._learn(now, event)
         return self._emit(now, self._plan(now))
 
     def _learn(self, now: float, event: face.Event) -> None:
         match event:
+            case face.Listed(form="failed"):
+                self.ask_at = now + self.ask_wait * self.uniform(0.5, 1.0)
+                self.ask_wait = min(2 * self.ask_wait, max(self.ask_every / 4, self.ASK_WAIT))
             case face.Listed():
-                if event.form == "failed":
-                    self.following = False
-                    self.ask_at = now + self.ask_wait * self.uniform(0.5, 1.0)
-                    self.ask_wait = min(2 * self.ask_wait, max(self.ask_every / 4, 0.5))
-                else:
-                    self.ask_wait = 0.5
+                self.ask_wait = self.ASK_WAIT
                 fresh = self.fleet.fold(event)
                 self.health.grow(len(self.fleet.ids))
                 for i in fresh:
-                    self.health.reset(i)
-            case face.Joined():
-                self.account.forget(event.proxy)
-                self.proxies[event.proxy] = Proxy(event.zone)
-                # A zone whose first proxy is back can be reached again; a start that the list tells still ramps.
-                if sum(proxy.zone == event.zone for proxy in self.proxies.values()) == 1:
-                    self.health.regain([i for i, z in enumerate(self.fleet.zones) if z == event.zone])
-            case face.Left():
-                self.account.forget(event.proxy)
-                self.proxies.pop(event.proxy, None)
+                    self.health.start(i, 1.0, now)
+            case face.Joined(proxy, zone):
+                self.account.settle(proxy, list(self.account.sent))
+                self.account.written.pop(proxy, None)
+                if all(other.zone != zone for other in self.proxies.values()):
+                    # A zone whose first proxy is back can be reached again: no trials. Known starts still ramp.
+                    for i in (i for i, z in enumerate(self.fleet.zones) if z == zone and not self.health.cap[i]):
+                        self.health.start(i, 1.0, now)
+                self.proxies[proxy] = Proxy(zone)
+            case face.Left(proxy):
+                self.account.settle(proxy, list(self.account.sent))
+                self.proxies.pop(proxy, None)
                 for change in self.changes.values():
-                    change.awaited.discard(event.proxy)
-            case face.Answered() if event.proxy in self.proxies:
-                self._answered(event.proxy, event.mark, event.took)
-            case face.Met():
-                i = self.fleet.index.get(event.worker)
+                    change.awaited.discard(proxy)
+            case face.Answered(proxy, mark, took) if mark in self.account.sent:
+                if proxy in self.account.sent[mark].awaited:
+                    self._answered(proxy, self.account.answered(proxy, mark, took))
+            case face.Met(worker=worker) if worker in self.fleet.index:
+                i = self.fleet.index[worker]
                 if self.gate:
                     self.gate.settled += event.tries - event.voided
-                if i is not None and not self.health.out(i):
+                if self.health.cap[i]:
                     self.health.met(i, now, event.tries, event.voided, event.took)
-            case face.Probed():
-                i = self.fleet.index.get(event.worker)
-                self.probes.discard(i)
-                if i is not None and self.health.out(i):
-                    if event.ok:
-                        self.health.begin_trial(i, now)
-                    else:
-                        self.health.due[i] = now + 1.0
-            case face.Asked() if self.gate:
-                if event.product in self.gate.names:
-                    self.gate.came[self.gate.names[event.product]] += event.txns
-
-    def _answered(self, proxy: int, mark: int, took: float) -> None:
-        if mark not in self.account.sent or proxy not in self.account.sent[mark].awaited:
-            return  # late answer to a mark that is settled
-        passed = set(self.account.upto(mark))
-        self.account.answered(proxy, mark, took)
+            case face.Probed(worker=worker) if worker in self.fleet.index:
+                i = self.fleet.index[worker]
+                self.probing.discard(i)
+                if not self.health.cap[i] and event.ok:
+                    self.health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
+                elif not self.health.cap[i]:
+                    self.health.due[i] = now + 1.0
+            case face.Asked(product=name) if self.gate and name in self.gate.came:
+                self.gate.came[name] += event.txns
+
+    def _answered(self, proxy: int, passed: set[int]) -> None:
         for change in self.changes.values():
-            if change.asked in passed:
+            if change.mark in passed:
                 change.awaited.discard(proxy)
-        for product, held in self.proxies[proxy].holds.items():
-            known = [k for k, (_, asked) in enumerate(held) if asked in passed or asked < 0]
-            if known:
-                newest = known[-1]
-                self.proxies[proxy].holds[product] = [(held[newest][0], -1), *held[newest + 1:]]
+        holds = self.proxies[proxy].holds
+        for k, held in holds.items():
+            sure = max((n for n, (_, mark) in enumerate(held) if not mark or mark in passed), default=None)
+            if sure is not None:
+                holds[k] = [(held[sure][0], 0), *held[sure + 1:]]
 
     # The wanted state.
 
-    def _part(self, i: int, now: float) -> tuple[float, float]:
-        """A ready worker's wanted part of its listed weight, and the most it may have without danger."""
-        age, cap = now - self.fleet.since[i], self.health.cap[i]
-        part = min(1.0, self.STEP * (1 + max(0, int(age / self.RAISE)))) if age < self.warm_after else 1.0
-        # A trial's first share is in the tables before the trial; a jammed worker empties while that is bound.
-        return min(part, cap or self.STEP), min(part if part < 1.0 else inf, cap if cap < 0.5 else inf)
-
-    def _plan(self, now: float) -> "Wanted":
-        weight = self.fleet.listed_weight()
-        self.health.judge(now, weight)
+    def _plan(self, now: float) -> Wanted:
+        weight, health = self.fleet.listed_weight(), self.health
+        health.judge(now, weight)
+        parts, most = {}, {}
         for i in weight:
-            if self.health.out(i) and self.health.due[i] <= now and not self.may_probe:
-                self.health.begin_trial(i, now)
-        parts: dict[int, float] = {}
-        most: dict[int, float] = {}
-        for i in weight:
-            parts[i], most[i] = self._part(i, now)
+            if not health.cap[i] and health.due[i] <= now and not self.may_probe:
+                health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
+            age, cap = now - self.fleet.since[i], health.cap[i]
+            part = min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
+            # A withdrawn worker's tables already hold a trial's share, so that the trial needs no change first.
+            parts[i] = min(part, cap or Health.TRIAL_SHARE)
+            most[i] = min(part if part < 1.0 else inf, cap if cap < Health.JAMMED_SHARE else inf)
         self._advance(now)
-        levels = [1.0] * len(self.products)
-        heard = [i for i in weight if not self.health.out(i) and self.health.tries[i] >= 1.0]
+        levels = [(self.all_in, 1)] * self.products
+        heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         if self.gate and heard:
-            self.gate.step(now, median(map(self.health.part, heard)), median(map(self.health.pace, heard)))
-            levels = self.gate.levels()
-        # Danger: an effect twice. No product is tried again but on proof that the first try never ran, and in
-        # overload none at all: a second try at a full worker's neighbour fills that one too.
-        retry = int(min(levels) == 1.0)
-        wanted = Wanted(parts, {i: weight[i] * parts[i] for i in weight}, levels, retry)
+            self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
+            shares = self.gate.levels()
+            # Danger: an effect twice. No product is tried again but on proof that the first try never ran; in
+            # overload none at all, as a second try at a full worker's neighbour fills that one too.
+            levels = [(share, int(min(shares) == 1.0)) for share in shares]
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
-        for table in self._in_use():
-            for i, part in table.parts.items():
-                if part > most.get(i, 0.0) + 1e-9:
-                    wanted.out.add(i)
-        cold = {i for i in weight if most[i] < inf and self.health.cap[i] >= 0.5}
-        if weight and not any(i in weight and i not in cold and i not in wanted.out for i in weight):
-            wanted.out -= cold  # Danger: nobody left; where none is warm, shares alone must do
-        for i in weight:
-            if self.may_probe and self.health.out(i) and self.health.due[i] <= now and i not in self.probes:
-                wanted.probes.append(i)
-        return wanted
+        held = {i: part for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
+        out, cold = set(held), {i for i in weight if most[i] < inf and health.cap[i]}
+        if not weight.keys() - cold - out:
+            out -= cold  # Danger: nobody left. Where none is warm, shares alone must do.
+        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
 
     def _in_use(self) -> list[Table]:
-        tables = {id(table): table for proxy in self.proxies.values()
-                  for held in proxy.holds.values() for table, _ in held}
-        return list(tables.values())
+        return list(dict.fromkeys(table for proxy in self.proxies.values()
+                                  for held in proxy.holds.values() for table, _ in held))
 
     def _advance(self, now: float) -> None:
         """Move each change on as far as answers and timers let it."""
-        patience = self.SILENT + self.account.delay()
-        for product, change in list(self.changes.items()):
+        patience = self.SILENT + self.account.waiting() / self.account.rate + 2 * self.account.channel.transit
+        for k, change in list(self.changes.items()):
             if now >= change.asked_at + patience:
                 change.awaited.clear()  # silent proxies leave the awaited set
-            if change.bound and change.answered_at == inf:
-                slow = [p for p in self.proxies.values() if self._unsettled(p, product, change.table)]
-                if not [p for p in slow if p.bound_at == -inf or now < p.bound_at + patience]:
-                    change.answered_at = now
-                    change.old.clear_at = now + self.LIFETIME
+            if change.bound and change.answered_at == inf and not any(
+                    proxy.holds.get(k) != [(change.table, 0)] and now < proxy.bound_at + patience
+                    for proxy in self.proxies.values()):
+                change.answered_at, change.old.clear_at = now, now + self.LIFETIME
             if now >= change.answered_at + self.LIFETIME:
-                del self.changes[product]
-
-    @staticmethod
-    def _unsettled(proxy: Proxy, product: int, table: Table) -> bool:
-        held = proxy.holds.get(product, [])
-        return not (len(held) == 1 and held[0][0] is table and held[0][1] < 0)
-
-    def _may_bind(self, change: Change) -> bool:
-        return not change.awaited and all(not other.awaited for other in self.changes.values()
-                                      if other.version < change.version - self.WINDOW)
+                del self.changes[k]
 
     # The difference, and the only place that orders.
 
-    def _emit(self, now: float, wanted: "Wanted") -> list[face.Order]:
+    def _emit(self, now: float, wanted: Wanted) -> list[face.Order]:
         orders: list[face.Order] = []
         lines: dict[int, float] = {}
-        head = self.account.channel.message_lines + 1.0
-        mark = self.last_mark % 65000 + 1
-        while mark in self.account.sent:
-            mark = mark % 65000 + 1
-
-        def fits(cost: dict[int, float], ordinary: bool) -> bool:
-            more = sum(n + (0.0 if p in lines else head) for p, n in cost.items())
-            waiting = self.account.waiting() + sum(lines.values()) + more
-            most = self.account.channel.waiting_most
-            if any(p not in lines and self.account.messages_left(p, now) <= (self.KEPT_MESSAGES if ordinary else 0)
-                   for p in cost):
+        account, everyone = self.account, False
+        mark = self._free(self.last_mark, self.account.sent)
+
+        def spend(cost: dict[int, float], ordinary: bool, budget: float = inf) -> bool:
+            """Take these lines for these proxies into the reply if the channel and the limits allow it."""
+            head, waiting = account.channel.message_lines + 1.0, account.waiting() + sum(lines.values())
+            more = sum(n if p in lines else n + head for p, n in cost.items())
+            most = account.channel.waiting_most * (1.0 - self.KEPT_BACK if ordinary else self.FULL)
+            kept = self.KEPT_MESSAGES if ordinary else 0
+            if waiting > budget * account.rate or waiting + more > most or any(
+                    p not in lines and account.messages_left(p, now) <= kept for p in cost):
                 return False
-            return waiting <= (1.0 - self.KEPT_BACK if ordinary else 0.98) * most
-
-        def spend(cost: dict[int, float]) -> None:
-            for p, n in cost.items():
-                lines[p] = lines.get(p, head) + n
-
-        # Withdrawals first, without stages.
-        caps = {i: self.health.cap[i] for i in wanted.parts}
-        for i, cap in caps.items():
-            h = self.health
-            if cap != self.noted.get(i, 1.0):
-                orders.append(face.Note(f"{self.fleet.ids[i]} to {cap}: {h.part(i):.2f} of {h.tries[i]:.0f} tries "
-                                   f"voided, settled in {h.pace(i):.2f} s"))
-        self.noted = caps
+            lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
+            return True
+
+        self._note(orders, wanted)
+        # Withdrawals first, without stages; then levels, which must not wait behind a change either.
         for i in sorted(wanted.out ^ self.out):
-            cost = {p: 1.0 for p, proxy in self.proxies.items()
-                    if any(i in t.shares for held in proxy.holds.values() for t, _ in held)}
-            if fits(cost, ordinary=i not in wanted.out):
-                spend(cost)
+            users = {p: 1.0 for p, proxy in self.proxies.items()
+                     if any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
+            if spend(users, ordinary=i not in wanted.out):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
-        # Levels next, in the tables in use: refusals must not wait behind a change.
-        for k, level in enumerate(wanted.levels):
-            for table in dict.fromkeys(t for p in self.proxies.values() for t, _ in p.holds.get(k, ())):
-                users = {p: 1.0 for p, proxy in self.proxies.items()
-                         if proxy.holds.get(k) and proxy.holds[k][-1][0] is table}
-                stale = abs(table.level - level) > 0.01 or table.retry != wanted.retry
-                if users and stale and fits(users, ordinary=False):
-                    spend(users)
-                    orders.append(face.Admit(table.number, k, wanted.retry, level))
-                    table.level, table.retry = level, wanted.retry
-        # New tables, laid where nobody is bound yet: no line but the asking.
-        size = {k: self._distance(self.current.get(k), wanted.shares) for k in range(len(self.products))}
-        everyone = False
-        for k in sorted(size, key=lambda k: (-size[k], k)):
+        for table, k in {proxy.holds[k][-1][0]: k for proxy in self.proxies.values() for k in proxy.holds}.items():
+            users = {p: 1.0 for p, proxy in self.proxies.items() if k in proxy.holds and proxy.holds[k][-1][0] is table}
+            if table.level != wanted.levels[k] and spend(users, ordinary=False):
+                table.level = wanted.levels[k]
+                orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
+        # New tables, the largest change of weight first, laid where nobody is bound yet: no line but the asking.
+        size = [self._distance(self.current[k], wanted) if k in self.current else inf for k in range(self.products)]
+        largest = sorted(range(self.products), key=lambda k: -size[k])
+        for k in largest:
             if k not in self.current:
                 self.current[k] = self._lay(orders, k, wanted)
-            elif k not in self.changes and size[k] > 0:
-                cost = {p: 0.0 for p in self.proxies}
-                if not fits(cost, ordinary=True) or self.account.waiting() > self.account.rate * self.TURN:
-                    continue
-                spend(cost)
-                self.versions += 1
-                everyone = True
-                self.changes[k] = Change(self.versions, self._lay(orders, k, wanted), self.current[k],
-                                         set(self.proxies), mark, now)
-        # Ready changes become current, largest first; then whoever is on another table is bound.
-        for k in sorted(self.changes, key=lambda k: (-size[k], k)):
-            change = self.changes[k]
-            if not change.bound and self._may_bind(change) and change.asked != mark:
+            elif k not in self.changes and size[k] and spend(dict.fromkeys(self.proxies, 0.0), True, self.TURN):
+                self.versions, everyone = self.versions + 1, True
+                self.changes[k] = Change(self.versions, self._lay(orders, k, wanted), self.current[k], mark, now,
+                                         set(self.proxies))
+        # Ready changes become current within the window; then whoever is on another table is bound, joiners first.
+        for k, change in self.changes.items():
+            if not change.bound and not change.awaited and change.asked_at < now and not any(
+                    other.awaited for other in self.changes.values() if other.version < change.version - self.WINDOW):
                 change.bound, self.current[k] = True, change.table
                 self.retired.append(change.old)
-        for ordinary in (False, True):
-            for k in sorted(self.current, key=lambda k: (-size[k], k)):
+        for joiners in (True, False):
+            for k in largest:
                 table = self.current[k]
                 for p, proxy in self.proxies.items():
-                    held = proxy.holds.get(k)
-                    if held and (held[-1][0] is table or not ordinary) or not held and ordinary:
+                    held = proxy.holds.setdefault(k, [])
+                    if joiners == bool(held) or held and held[-1][0] is table:
                         continue
-                    cost = {p: 2.0 + len(table.shares) + sum(i in table.shares for i in self.out)}
-                    busy = self.account.waiting() + sum(lines.values()) > self.account.rate * self.TURN * 2
-                    if not fits(cost, ordinary) or ordinary and busy:
-                        continue
-                    spend(cost)
-                    orders.append(face.Bind(p, k, table.number))
-                    proxy.holds.setdefault(k, []).append((table, mark))
-                    proxy.bound_at = now
-        used = set(map(id, self._in_use()))
-        for table in list(self.retired):
-            if table.clear_at <= now and id(table) not in used:
-                orders.append(face.Clear(table.number))
-                self.retired.remove(table)
-                self.numbers.discard(table.number)
+                    cost = {p: 2.0 + len(table.shares) + len(self.out & table.shares.keys())}
+                    if spend(cost, not joiners, inf if joiners else 2 * self.TURN):
+                        orders.append(face.Bind(p, k, table.number))
+                        held.append((table, mark))
+                        proxy.bound_at = now
+        used = set(self._in_use())
+        for table in [table for table in self.retired if table.clear_at <= now and table not in used]:
+            orders.append(face.Clear(table.number))
+            self.retired.remove(table)
+            self.numbers.discard(table.number)
         if lines:
             self.last_mark = mark
             orders.append(face.Mark(mark, everyone))
-            self.account.book(mark, now, lines)
-        for i in wanted.probes:
-            self.probes.add(i)
-            orders.append(face.Probe(self.fleet.ids[i]))
-        if self.must_ask and not self.following and self.ask_at <= now:
-            self.following = True
+            account.book(mark, now, lines)
+        for i in wanted.shares.keys() - self.probing:
+            if self.may_probe and not self.health.cap[i] and self.health.due[i] <= now:
+                self.probing.add(i)
+                orders.append(face.Probe(self.fleet.ids[i]))
+        if self.ask_at <= now:
+            self.ask_at = inf
             orders.append(face.Follow())
-        self._wake(now, orders)
+        self._wake(now, orders, wanted)
         return orders
 
-    def _lay(self, orders: list[face.Order], product: int, wanted: "Wanted") -> Table:
-        number = self.last_number % 65000 + 1
-        while number in self.numbers:
-            number = number % 65000 + 1
-        self.last_number = number
-        self.numbers.add(number)
-        table = Table(number, dict(wanted.shares), dict(wanted.parts), wanted.levels[product], wanted.retry)
-        orders.extend(face.Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
-        if table.retry != self.usual_retry or table.level < 1.0:
-            orders.append(face.Admit(number, product, table.retry, table.level))
+    def _free(self, last: int, taken: Iterable[int]) -> int:
+        number = last % self.NUMBERS + 1
+        while number in taken:
+            number = number % self.NUMBERS + 1
+        return number
+
+    def _lay(self, orders: list[face.Order], k: int, wanted: Wanted) -> Table:
+        self.last_number = self._free(self.last_number, self.numbers)
+        self.numbers.add(self.last_number)
+        table = Table(self.last_number, wanted.shares, wanted.parts, wanted.levels[k])
+        orders.extend(face.Share(table.number, self.fleet.ids[i], share) for i, share in table.shares.items())
+        if table.level != (self.all_in, self.usual_retry):
+            orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
         return table
 
     @staticmethod
-    def _distance(table: Table | None, shares: dict[int, float]) -> float:
+    def _distance(table: Table, wanted: Wanted) -> float:
         """How much weight a change would move, as a part of the whole."""
-        if table is None:
-            return inf
-        have, want = sum(table.shares.values()) or 1.0, sum(shares.values()) or 1.0
-        moved = sum(abs(table.shares.get(i, 0.0) / have - shares.get(i, 0.0) / want)
-                    for i in {**table.shares, **shares})
-        return moved if table.shares.keys() ^ shares.keys() or moved > 1e-6 else 0.0
-
-    def _wake(self, now: float, orders: list[face.Order]) -> None:
+        have, want = table.shares, wanted.shares
+        all_have, all_want = sum(have.values()) or 1.0, sum(want.values()) or 1.0
+        return sum(abs(have.get(i, 0.0) / all_have - want.get(i, 0.0) / all_want)
+                   for i in sorted(have.keys() | want.keys())) if have != want else 0.0
+
+    def _note(self, orders: list[face.Order], wanted: Wanted) -> None:
+        health = self.health
+        for i in wanted.parts:
+            if health.cap[i] != self.noted.get(i, 1.0):
+                self.noted[i] = health.cap[i]
+                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of "
+                                        f"{health.tries[i]:.0f} tries voided, settled in {health.pace(i):.2f} s"))
+
+    def _wake(self, now: float, orders: list[face.Order], wanted: Wanted) -> None:
         """One timer at the next time at which something is due of itself."""
-        due = [now + 0.25] if self.changes or self.account.sent or self.retired else []
-        due += [self.ask_at] if self.must_ask and not self.following else []
-        for i, ready in enumerate(self.fleet.ready):
-            if ready and self.health.out(i):
-                due.append(max(self.health.due[i], now + 0.25))
-            elif ready:
-                age = now - self.fleet.since[i]
-                if age < self.warm_after:
-                    due.append(now + self.RAISE - age % self.RAISE if age >= 0 else now + 0.25)
+        busy = self.changes or self.account.sent or self.retired or wanted.out ^ self.out
+        due = [now + self.BEAT if busy else inf, self.ask_at]
+        for i in wanted.parts:
+            age = now - self.fleet.since[i]
+            due.append(inf if self.health.cap[i] else max(self.health.due[i], now + self.BEAT))
+            due.append(now + self.RAISE - age % self.RAISE if age < self.warm_after else inf)
         self.armed = {at for at in self.armed if at > now}
-        if due and (not self.armed or min(self.armed) > min(due) + 0.01):
-            at = max(min(due), now + 0.01)
-            self.armed.add(at)
+        if min(due) < min(self.armed, default=inf):
             self.last_token += 1
-            orders.append(face.Wake(at - now, self.last_token))
-
-
-@dataclass
-class Wanted:
-    """What should be: each ready worker's part and share, who is out, whom to probe."""
-
-    parts: dict[int, float]
-    shares: dict[int, float]
-    levels: list[float]
-    retry: int
-    out: set[int] = field(default_factory=set)
-    probes: list[int] = field(default_factory=list)
+            self.armed.add(min(due))
+            orders.append(face.Wake(min(due) - now, self.last_token))
