--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -1,12 +1,10 @@
 """All decisions of a manager: which worker each proxy may use, at what share, and when orders go out.
 
-Call `Balancer(trade)` once at the start of an instance, then `decide(now, events)` for each batch, with the clock
-in float seconds; it returns the orders in the order in which they are to take effect. Events, orders and what is
-read at start are plain types in `dunlinlug/interface.py`. The module reads no clock and does no I/O.
-
-Events change what is known; `_plan` turns that into a wanted state (who is out, each table's shares and levels);
-`_emit` alone works out the difference to the present state and orders it. `docs/design.md` tells how this follows
-CCU, the concurrent two-phase update, and where it departs from it.
+Call `Balancer(trade)` once at an instance's start, then `decide(now, events)` for each batch, with the clock in
+float seconds; it returns the orders in the order in which they take effect. Events, orders and what is read at
+start are plain types in `dunlinlug/interface.py`. Events change what is known, `_plan` turns that into a wanted
+state, `_emit` alone works out the difference to the present one and orders it. `docs/design.md` tells how this
+follows CCU, the concurrent two-phase update, and where it departs from it.
 """
 
 from collections import deque
@@ -58,7 +56,7 @@
 
 @dataclass
 class Sent:
-    """One reply's messages: their stretch of the channel's lines, what had left it by then, who must answer."""
+    """One reply's messages: their stretch of the channel's lines, what had left it then, who must answer."""
 
     start: float
     end: float
@@ -71,7 +69,6 @@
 
     SAMPLE = 0.1  # seconds of usual drain below which an answer's time is mostly the way, not the channel
     SLOWEST = 0.1  # of the usual pace; below this an estimate would stop ordinary orders altogether
-    SLACK = 0.05  # seconds added to the span of the limit on messages, against rounding
 
     def __init__(self, channel: face.Channel) -> None:
         self.channel = channel
@@ -85,7 +82,7 @@
 
     def messages_left(self, proxy: int, now: float) -> float:
         times = self.written.setdefault(proxy, deque())
-        while times and times[0] <= now - self.channel.messages_span - self.SLACK:
+        while times and times[0] < now - self.channel.messages_span:
             times.popleft()
         return self.channel.messages_most - len(times) if self.channel.messages_most else inf
 
@@ -132,7 +129,7 @@
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
-    REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
+    REST, REST_MOST, AGAIN = 4.0, 16.0, 1.0  # seconds out before a trial, doubled by each that fails; or a probe
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
@@ -198,8 +195,9 @@
             if not less or less > 0 and lost + less > most * whole:
                 continue
             lost += less
-            self.cap[i], self.due[i] = cap, now + (self.TRIAL if cap else self.rest[i] * self.uniform(1.0, 1.2))
-            self.rest[i] = self.REST if cap == 1.0 else self.rest[i] if cap else min(2 * self.rest[i], self.REST_MOST)
+            self.cap[i], self.due[i] = cap, now + (self.TRIAL if cap else self.rest[i] * self.uniform(1, 1.2))
+            if cap in (0.0, 1.0):
+                self.rest[i] = self.REST if cap else min(2 * self.rest[i], self.REST_MOST)
 
 
 class Gate:
@@ -211,7 +209,7 @@
     CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
     BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
-    LEAST = 0.5  # of the best settled rate is always let in: a jam settles little, but not for want of capacity
+    LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
@@ -232,7 +230,8 @@
         if now < self.last + self.BEAT:
             return
         span, self.last = now - self.last, now
-        self.asked = [a + (max(n, 0.1) / span - a) / 2 for a, n in zip(self.asked, self.came.values(), strict=True)]
+        came = zip(self.asked, self.came.values(), strict=True)
+        self.asked = [asked + (max(n, 0.1) / span - asked) / 2 for asked, n in came]
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
@@ -284,7 +283,7 @@
 
 @dataclass(eq=False)
 class Proxy:
-    """A joined proxy: for each product the tables it may be using, newest last, with the mark awaited or 0."""
+    """A joined proxy: by product the tables it may be using, newest last, with the mark awaited or 0."""
 
     zone: str
     holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
@@ -309,9 +308,8 @@
     LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
-    TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds: a turn's budget
+    TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK = 0.4  # of the lines that may wait, kept for withdrawals, levels and joins
-    FULL = 0.98  # of the lines that may wait, for these: the account counts in whole replies
     KEPT_MESSAGES = 10  # of the messages to a proxy in the span, kept for these
     BEAT = 0.25  # seconds between looks while something is under way
     ASK_WAIT = 0.5  # seconds before asking for the list again, doubled by each failure
@@ -366,9 +364,9 @@
                 self.account.settle(proxy, list(self.account.sent))
                 self.account.written.pop(proxy, None)
                 if all(other.zone != zone for other in self.proxies.values()):
-                    # A zone whose first proxy is back can be reached again: no trials. Known starts still ramp.
-                    for i in (i for i, z in enumerate(self.fleet.zones) if z == zone and not self.health.cap[i]):
-                        self.health.start(i, 1.0, now)
+                    for i, place in enumerate(self.fleet.zones):
+                        if place == zone and not self.health.cap[i]:
+                            self.health.start(i, 1.0, now)  # the zone can be reached again; known starts ramp
                 self.proxies[proxy] = Proxy(zone)
             case face.Left(proxy):
                 self.account.settle(proxy, list(self.account.sent))
@@ -387,10 +385,9 @@
             case face.Probed(worker=worker) if worker in self.fleet.index:
                 i = self.fleet.index[worker]
                 self.probing.discard(i)
-                if not self.health.cap[i] and event.ok:
-                    self.health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
-                elif not self.health.cap[i]:
-                    self.health.due[i] = now + 1.0
+                if not self.health.cap[i]:
+                    share, pause = (Health.TRIAL_SHARE, Health.TRIAL) if event.ok else (0.0, Health.AGAIN)
+                    self.health.start(i, share, now + pause)
             case face.Asked(product=name) if self.gate and name in self.gate.came:
                 self.gate.came[name] += event.txns
 
@@ -415,8 +412,7 @@
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
             age, cap = now - self.fleet.since[i], health.cap[i]
             part = min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
-            # A withdrawn worker's tables already hold a trial's share, so that the trial needs no change first.
-            parts[i] = min(part, cap or Health.TRIAL_SHARE)
+            parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             most[i] = min(part if part < 1.0 else inf, cap if cap < Health.JAMMED_SHARE else inf)
         self._advance(now)
         levels = [(self.all_in, 1)] * self.products
@@ -424,13 +420,13 @@
         if self.gate and heard:
             self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
             shares = self.gate.levels()
-            # Danger: an effect twice. No product is tried again but on proof that the first try never ran; in
-            # overload none at all, as a second try at a full worker's neighbour fills that one too.
+            # Danger: an effect twice. Nothing is tried again but on proof that the first try never ran; in
+            # overload not at all, as a second try at a full worker's neighbour fills that one too.
             levels = [(share, int(min(shares) == 1.0)) for share in shares]
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
-        held = {i: part for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
-        out, cold = set(held), {i for i in weight if most[i] < inf and health.cap[i]}
+        out = {i for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
+        cold = {i for i in weight if most[i] < inf and health.cap[i]}
         if not weight.keys() - cold - out:
             out -= cold  # Danger: nobody left. Where none is warm, shares alone must do.
         return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
@@ -464,41 +460,48 @@
             """Take these lines for these proxies into the reply if the channel and the limits allow it."""
             head, waiting = account.channel.message_lines + 1.0, account.waiting() + sum(lines.values())
             more = sum(n if p in lines else n + head for p, n in cost.items())
-            most = account.channel.waiting_most * (1.0 - self.KEPT_BACK if ordinary else self.FULL)
-            kept = self.KEPT_MESSAGES if ordinary else 0
+            most = account.channel.waiting_most * (1.0 - self.KEPT_BACK * ordinary)
             if waiting > budget * account.rate or waiting + more > most or any(
-                    p not in lines and account.messages_left(p, now) <= kept for p in cost):
+                    p not in lines and account.messages_left(p, now) <= self.KEPT_MESSAGES * ordinary for p in cost):
                 return False
             lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
             return True
 
-        self._note(orders, wanted)
+        health = self.health
+        for i in wanted.parts:
+            if health.cap[i] != self.noted.get(i, 1.0):
+                self.noted[i] = health.cap[i]
+                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of its "
+                                        f"{health.tries[i]:.0f} tries voided, pace {health.pace(i):.2f} s"))
         # Withdrawals first, without stages; then levels, which must not wait behind a change either.
         for i in sorted(wanted.out ^ self.out):
-            users = {p: 1.0 for p, proxy in self.proxies.items()
-                     if any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
-            if spend(users, ordinary=i not in wanted.out):
+            cost = {p: 1.0 for p, proxy in self.proxies.items()
+                    if any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
+            if spend(cost, ordinary=i not in wanted.out):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
-        for table, k in {proxy.holds[k][-1][0]: k for proxy in self.proxies.values() for k in proxy.holds}.items():
-            users = {p: 1.0 for p, proxy in self.proxies.items() if k in proxy.holds and proxy.holds[k][-1][0] is table}
-            if table.level != wanted.levels[k] and spend(users, ordinary=False):
+        users = {}
+        for p, proxy in self.proxies.items():
+            for k, held in proxy.holds.items():
+                users.setdefault((k, held[-1][0]), {})[p] = 1.0
+        for (k, table), cost in users.items():
+            if table.level != wanted.levels[k] and spend(cost, ordinary=False):
                 table.level = wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
-        # New tables, the largest change of weight first, laid where nobody is bound yet: no line but the asking.
-        size = [self._distance(self.current[k], wanted) if k in self.current else inf for k in range(self.products)]
+        # New tables, the largest change of weight first, laid where nobody is bound: no line but the asking.
+        size = [self._distance(self.current.get(k), wanted) for k in range(self.products)]
         largest = sorted(range(self.products), key=lambda k: -size[k])
         for k in largest:
             if k not in self.current:
                 self.current[k] = self._lay(orders, k, wanted)
             elif k not in self.changes and size[k] and spend(dict.fromkeys(self.proxies, 0.0), True, self.TURN):
                 self.versions, everyone = self.versions + 1, True
-                self.changes[k] = Change(self.versions, self._lay(orders, k, wanted), self.current[k], mark, now,
-                                         set(self.proxies))
-        # Ready changes become current within the window; then whoever is on another table is bound, joiners first.
+                laid = self._lay(orders, k, wanted)
+                self.changes[k] = Change(self.versions, laid, self.current[k], mark, now, set(self.proxies))
+        # Ready changes become current within the window; then whoever is on another table is bound.
         for k, change in self.changes.items():
-            if not change.bound and not change.awaited and change.asked_at < now and not any(
-                    other.awaited for other in self.changes.values() if other.version < change.version - self.WINDOW):
+            if not change.bound and not change.awaited and not any(other.awaited for other in self.changes.values()
+                                                                   if other.version < change.version - self.WINDOW):
                 change.bound, self.current[k] = True, change.table
                 self.retired.append(change.old)
         for joiners in (True, False):
@@ -548,20 +551,12 @@
         return table
 
     @staticmethod
-    def _distance(table: Table, wanted: Wanted) -> float:
+    def _distance(table: Table | None, wanted: Wanted) -> float:
         """How much weight a change would move, as a part of the whole."""
-        have, want = table.shares, wanted.shares
+        have, want = table.shares if table else {}, wanted.shares
         all_have, all_want = sum(have.values()) or 1.0, sum(want.values()) or 1.0
-        return sum(abs(have.get(i, 0.0) / all_have - want.get(i, 0.0) / all_want)
-                   for i in sorted(have.keys() | want.keys())) if have != want else 0.0
-
-    def _note(self, orders: list[face.Order], wanted: Wanted) -> None:
-        health = self.health
-        for i in wanted.parts:
-            if health.cap[i] != self.noted.get(i, 1.0):
-                self.noted[i] = health.cap[i]
-                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of "
-                                        f"{health.tries[i]:.0f} tries voided, settled in {health.pace(i):.2f} s"))
+        moved = (abs(have.get(i, 0.0) / all_have - want.get(i, 0.0) / all_want) for i in sorted({**have, **want}))
+        return sum(moved) if have != want else 0.0
 
     def _wake(self, now: float, orders: list[face.Order], wanted: Wanted) -> None:
         """One timer at the next time at which something is due of itself."""
--- a/dunlinlug/drill/codec.py
+++ b/dunlinlug/drill/codec.py
@@ -92,7 +92,8 @@
     home_only = spec.get("homeOnly") or []
     products = tuple(
         face.Product(
-            name=lane["name"], sla=_s(lane["aimUs"]), expiry=_s(lane["hardLimitUs"]), revenue=float(lane["points"]),
+            name=lane["name"], sla=_s(lane["aimUs"]), expiry=_s(lane["hardLimitUs"]),
+            revenue=float(lane["points"]),
             late_share=float(lane.get("lateShare") or 0.0), repeats=REPEATS[lane["effect"]],
             group=lane.get("group") or "all", window=_s(lane.get("windowUs") or 0),
             home_only=bool(k < len(home_only) and home_only[k]),
@@ -102,11 +103,13 @@
     channel = face.Channel(
         lines_per_s=float(spec["egressPerS"]), message_lines=float(spec["perMessage"]),
         waiting_most=float(spec["pendingMax"]), transit=_s(spec["transitUs"]),
-        transit_most=_s(spec.get("lateMostUs") or spec["transitUs"]), messages_most=int(spec.get("messagesMost") or 0),
+        transit_most=_s(spec.get("lateMostUs") or spec["transitUs"]),
+        messages_most=int(spec.get("messagesMost") or 0),
         messages_span=_s(spec.get("reloadSpanUs") or 10 * MICRO),
     )
     duties = face.Duties(
-        bare=_s(spec["emptyForUs"]), drain_grace=_s(rules["drainGraceUs"]), ask_every=_s(rules.get("askEveryUs") or 0),
+        bare=_s(spec["emptyForUs"]), drain_grace=_s(rules["drainGraceUs"]),
+        ask_every=_s(rules.get("askEveryUs") or 0),
         warm_after=_s(rules["coldUs"]), cold_share=float(rules["startCapacity"]),
         fall_multiple=float(rules["tipMultiple"]), fall_after=_s(rules["fallUs"]),
     )
@@ -147,8 +150,8 @@
 }
 
 LOADED: dict[str, Callable[[dict, tuple[str, ...]], face.Event]] = {
-    "ProbeResult": lambda b, f: face.Probed(b["worker"], b["rc"] == "ok", b["rc"], _s(b.get("costTimeUs") or 0),
-                                            _load(b, f)),
+    "ProbeResult": lambda b, f: face.Probed(b["worker"], b["rc"] == "ok", b["rc"],
+                                            _s(b.get("costTimeUs") or 0), _load(b, f)),
     "TrafficReport": lambda b, f: face.Met(b["locality"], b["worker"], b["count"], b["errors"],
                                            _s(b["costTimeUs"] or 0), _s(b["windowUs"]), _load(b, f)),
 }
--- a/dunlinlug/drill/host.py
+++ b/dunlinlug/drill/host.py
@@ -25,7 +25,8 @@
             decisions = _answer(instances, batch)
         except codec.WireFault as fault:
             raise codec.WireFault(f"line {number}: {fault}") from None
-        reply = {"decisions": decisions} if batch.number is None else {"n": batch.number, "decisions": decisions}
+        reply = {} if batch.number is None else {"n": batch.number}
+        reply["decisions"] = decisions
         outflow.write(json.dumps(reply, separators=(",", ":")).encode() + b"\n")
         outflow.flush()
 
--- a/dunlinlug/interface.py
+++ b/dunlinlug/interface.py
@@ -1,6 +1,6 @@
-"""What passes between the decision module and whoever hosts it: events in, orders out, and what is read at start.
+"""What passes between the decision module and its host: events in, orders out, and what is read at start.
 
-Times are float seconds on the host's clock, ids are as the wire gives them, zones and machine kinds are names.
+Times are float seconds on the host's clock, ids are as the wire gives them, zones and kinds are names.
 """
 
 from dataclasses import dataclass, field
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True)
 class Worker:
-    """One entry of the list. `state` is 'ready', 'draining' or 'gone'; `since` is None if it began long ago."""
+    """One entry of the list. `state` is 'ready', 'draining' or 'gone'; `since` is None if long ago."""
 
     id: str
     zone: str
