--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -320,7 +320,7 @@
         self.uniform = random.uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
-        self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
+        self.may_probe, self.sliced = False, trade.slices > 0
         self.fleet = Fleet()
         self.account = Account(trade.channel)
         self.health = Health(random)
