--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -1,10 +1,9 @@
 """All decisions of a manager: which worker each proxy may use, at what share, and when orders go out.
 
-Call `Balancer(trade)` once at an instance's start, then `decide(now, events)` for each batch, with the clock in
-float seconds; it returns the orders in the order in which they take effect. Events, orders and what is read at
-start are plain types in `dunlinlug/interface.py`. Events change what is known, `_plan` turns that into a wanted
-state, `_emit` alone works out the difference to the present one and orders it. `docs/design.md` tells how this
-follows CCU, the concurrent two-phase update, and where it departs from it.
+Call `Balancer(trade)` once at the start, then `decide(now, events)` for each batch, with the clock in float
+seconds; it returns orders in the order in which they take effect. All plain types are in `dunlinlug/interface.py`.
+Events change what is known, `_plan` turns that into a wanted state, and `_emit` alone works out and orders the
+difference to the present one. `docs/design.md` tells how this follows CCU, the concurrent two-phase update.
 """
 
 from collections import deque
@@ -48,22 +47,12 @@
         return fresh
 
     def listed_weight(self) -> dict[int, float]:
-        """The weight of each ready worker: as listed, or the average where the list tells none."""
+        """Each ready worker's weight: as listed, or the average where the list tells none."""
         told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w]
         usual = sum(told) / len(told) if told else 1.0
         return {i: self.weight[i] or usual for i, ready in enumerate(self.ready) if ready}
 
 
-@dataclass
-class Sent:
-    """One reply's messages: their stretch of the channel's lines, what had left it then, who must answer."""
-
-    start: float
-    end: float
-    left: float
-    awaited: set[int]
-
-
 class Account:
     """The channel account: how many lines may still wait, by what was ordered and what answers show."""
 
@@ -74,41 +63,41 @@
         self.channel = channel
         self.rate = channel.lines_per_s
         self.issued = self.left = 0.0  # lines ordered since the start, and those surely out of the channel
-        self.sent: dict[int, Sent] = {}  # by mark, oldest first
+        # By mark, oldest first: its stretch of lines, what had left by then, and who has yet to answer.
+        self.sent: dict[int, tuple[float, float, float, set[int]]] = {}
         self.written: dict[int, deque[float]] = {}  # when each joined proxy was written a message
 
     def waiting(self) -> float:
         return self.issued - self.left
 
     def messages_left(self, proxy: int, now: float) -> float:
-        times = self.written.setdefault(proxy, deque())
-        while times and times[0] < now - self.channel.messages_span:
-            times.popleft()
-        return self.channel.messages_most - len(times) if self.channel.messages_most else inf
+        recent = sum(at >= now - self.channel.messages_span for at in self.written.get(proxy, ()))
+        return self.channel.messages_most - recent if self.channel.messages_most else inf
 
     def book(self, mark: int, now: float, lines: dict[int, float]) -> None:
         start, self.issued = self.issued, self.issued + sum(lines.values())
-        self.sent[mark] = Sent(start, self.issued, self.left, set(lines))
+        self.sent[mark] = (start, self.issued, self.left, set(lines))
         for proxy in lines:
-            self.written.setdefault(proxy, deque()).append(now)
+            self.written.setdefault(proxy, deque(maxlen=self.channel.messages_most or 1)).append(now)
 
     def answered(self, proxy: int, mark: int, took: float) -> set[int]:
         """Settle this mark and all before it for the proxy, as the channel keeps the order; tells which."""
         passed = list(self.sent)[: list(self.sent).index(mark) + 1]
-        sent = self.sent[mark]
-        self.left = max(self.left, sent.start)
+        start, end, left, _ = self.sent[mark]
+        self.left, usual = max(self.left, start), self.channel.lines_per_s
         self.settle(proxy, passed)
-        if mark not in self.sent and sent.end - sent.left >= self.SAMPLE * self.channel.lines_per_s:
-            seen = (sent.end - sent.left) / max(took - self.channel.transit, 0.001)
-            least = self.SLOWEST * self.channel.lines_per_s
-            self.rate = min(max((self.rate + seen) / 2, least), self.channel.lines_per_s)
+        if mark not in self.sent and end - left >= self.SAMPLE * usual:
+            seen = (end - left) / max(took - self.channel.transit, 0.001)
+            self.rate = min(max((self.rate + seen) / 2, self.SLOWEST * usual), usual)
         return set(passed)
 
     def settle(self, proxy: int, marks: Iterable[int]) -> None:
         for mark in marks:
-            self.sent[mark].awaited.discard(proxy)
-            if not self.sent[mark].awaited:
-                self.left = max(self.left, self.sent.pop(mark).end)
+            _, end, _, awaited = self.sent[mark]
+            awaited.discard(proxy)
+            if not awaited:
+                self.left = max(self.left, end)
+                del self.sent[mark]
 
 
 class Health:
@@ -320,7 +309,7 @@
         self.uniform = random.uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
-        self.may_probe, self.sliced = False, trade.slices > 0
+        self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
         self.fleet = Fleet()
         self.account = Account(trade.channel)
         self.health = Health(random)
@@ -360,21 +349,18 @@
                 self.health.grow(len(self.fleet.ids))
                 for i in fresh:
                     self.health.start(i, 1.0, now)
-            case face.Joined(proxy, zone):
+            case face.Joined(proxy) | face.Left(proxy):
                 self.account.settle(proxy, list(self.account.sent))
                 self.account.written.pop(proxy, None)
-                if all(other.zone != zone for other in self.proxies.values()):
-                    for i, place in enumerate(self.fleet.zones):
-                        if place == zone and not self.health.cap[i]:
-                            self.health.start(i, 1.0, now)  # the zone can be reached again; known starts ramp
-                self.proxies[proxy] = Proxy(zone)
-            case face.Left(proxy):
-                self.account.settle(proxy, list(self.account.sent))
                 self.proxies.pop(proxy, None)
                 for change in self.changes.values():
                     change.awaited.discard(proxy)
+                if isinstance(event, face.Joined):
+                    if all(other.zone != event.zone for other in self.proxies.values()):
+                        self._regain(now, event.zone)
+                    self.proxies[proxy] = Proxy(event.zone)
             case face.Answered(proxy, mark, took) if mark in self.account.sent:
-                if proxy in self.account.sent[mark].awaited:
+                if proxy in self.account.sent[mark][3]:
                     self._answered(proxy, self.account.answered(proxy, mark, took))
             case face.Met(worker=worker) if worker in self.fleet.index:
                 i = self.fleet.index[worker]
@@ -391,6 +377,12 @@
             case face.Asked(product=name) if self.gate and name in self.gate.came:
                 self.gate.came[name] += event.txns
 
+    def _regain(self, now: float, zone: str) -> None:
+        """A zone whose first proxy is back can be reached again: no trials; starts that are known still ramp."""
+        for i, place in enumerate(self.fleet.zones):
+            if place == zone and not self.health.cap[i]:
+                self.health.start(i, 1.0, now)
+
     def _answered(self, proxy: int, passed: set[int]) -> None:
         for change in self.changes.values():
             if change.mark in passed:
@@ -480,7 +472,7 @@
             if spend(cost, ordinary=i not in wanted.out):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
-        users = {}
+        users: dict[tuple[int, Table], dict[int, float]] = {}
         for p, proxy in self.proxies.items():
             for k, held in proxy.holds.items():
                 users.setdefault((k, held[-1][0]), {})[p] = 1.0
@@ -508,13 +500,13 @@
             for k in largest:
                 table = self.current[k]
                 for p, proxy in self.proxies.items():
-                    held = proxy.holds.setdefault(k, [])
+                    held = proxy.holds.get(k, [])
                     if joiners == bool(held) or held and held[-1][0] is table:
                         continue
                     cost = {p: 2.0 + len(table.shares) + len(self.out & table.shares.keys())}
                     if spend(cost, not joiners, inf if joiners else 2 * self.TURN):
                         orders.append(face.Bind(p, k, table.number))
-                        held.append((table, mark))
+                        proxy.holds[k] = [*held, (table, mark)]
                         proxy.bound_at = now
         used = set(self._in_use())
         for table in [table for table in self.retired if table.clear_at <= now and table not in used]:
@@ -536,10 +528,7 @@
         return orders
 
     def _free(self, last: int, taken: Iterable[int]) -> int:
-        number = last % self.NUMBERS + 1
-        while number in taken:
-            number = number % self.NUMBERS + 1
-        return number
+        return next(n for n in ((last + k) % self.NUMBERS + 1 for k in range(self.NUMBERS)) if n not in taken)
 
     def _lay(self, orders: list[face.Order], k: int, wanted: Wanted) -> Table:
         self.last_number = self._free(self.last_number, self.numbers)
