--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -1,9 +1,9 @@
 """All decisions of a manager: which worker each proxy may use, at what share, and when orders go out.
 
-Call `Balancer(trade)` once at the start, then `decide(now, events)` for each batch, with the clock in float
-seconds; it returns orders in the order in which they take effect. All plain types are in `dunlinlug/interface.py`.
-Events change what is known, `_plan` turns that into a wanted state, and `_emit` alone works out and orders the
-difference to the present one. `docs/design.md` tells how this follows CCU, the concurrent two-phase update.
+Call `Balancer(trade)` once at the start, then `decide(now, events)` for each batch, the clock in float seconds;
+it returns orders in the order in which they take effect. The plain types are in `dunlinlug/interface.py`.
+Events change what is known, `_plan` turns that into a wanted state, and `_emit` alone orders the difference to
+the present one. `docs/design.md` tells how this follows CCU, the concurrent two-phase update.
 """
 
 from collections import deque
@@ -111,14 +111,14 @@
     SILENT = 0.9  # voided part from which a worker counts as silent for the ceiling
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
     BUSY = 0.08  # median voided part from which no jammed worker's share is moved: the others have no room
-    SPENT = 0.6  # of its usual settled tries: a failing worker that settles less is jammed or slow
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
-    REST, REST_MOST, AGAIN = 4.0, 16.0, 1.0  # seconds out before a trial, doubled by each that fails; or a probe
+    REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
+    AGAIN = 1.0  # seconds between probes that fail
 
     def __init__(self, random: Random) -> None:
         self.uniform = random.uniform
@@ -126,7 +126,6 @@
         self.tries: list[float] = []  # fading, as are the next two
         self.voided: list[float] = []
         self.took: list[float] = []  # seconds times settled tries
-        self.usual: list[float] = []  # settled tries when all is well
         self.heard_at: list[float] = []
         self.cap: list[float] = []  # the most of its listed weight; 0 when withdrawn
         self.due: list[float] = []  # when the next step up, or the trial, may come
@@ -134,7 +133,7 @@
 
     def grow(self, size: int) -> None:
         for _ in range(size - len(self.tries)):
-            for column in (self.tries, self.voided, self.took, self.usual, self.heard_at, self.due):
+            for column in (self.tries, self.voided, self.took, self.heard_at, self.due):
                 column.append(0.0)
             self.cap.append(1.0)
             self.rest.append(self.REST)
@@ -149,9 +148,6 @@
         self.tries[i] = self.tries[i] * fade + tries
         self.voided[i] = self.voided[i] * fade + voided
         self.took[i] = self.took[i] * fade + took * (tries - voided)
-        settled = self.tries[i] - self.voided[i]
-        if self.cap[i] == 1.0 and settled > self.voided[i]:
-            self.usual[i] += self.LEARN * (settled - self.usual[i]) if self.usual[i] else settled
 
     def part(self, i: int) -> float:
         return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
@@ -175,7 +171,7 @@
             brisk = self.pace(i) <= self.PACE * self.calm
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
-            elif failing and not busy and settled < self.SPENT * self.usual[i]:
+            elif failing and not busy:
                 cap = min(cap, self.JAMMED_SHARE)
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0
