--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -1,13 +1,13 @@
 """All decisions of a manager: which worker each proxy may use, at what share, and when orders go out.
 
-Call `Balancer(trade)` once at the start, then `decide(now, events)` for each batch, the clock in float seconds;
-it returns orders in the order in which they take effect. The plain types are in `dunlinlug/interface.py`.
-Events change what is known, `_plan` turns that into a wanted state, and `_emit` alone orders the difference to
-the present one. `docs/design.md` tells how this follows CCU, the concurrent two-phase update.
+Call `Balancer(trade)` at the start, then `decide(now, events)` for each batch, with the clock in seconds; it
+returns orders in the order in which they take effect. The plain types are in `dunlinlug/interface.py`. Events
+change what is known, `_plan` turns that into a wanted state, `_emit` alone orders the difference to the present
+one. `docs/design.md` tells how this follows CCU, the concurrent two-phase update.
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
@@ -120,16 +120,13 @@
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
     AGAIN = 1.0  # seconds between probes that fail
 
-    def __init__(self, random: Random) -> None:
-        self.uniform = random.uniform
+    def __init__(self, uniform: Callable[[float, float], float]) -> None:
+        self.uniform = uniform
         self.calm = 0.0  # the median worker's pace when few void
-        self.tries: list[float] = []  # fading, as are the next two
-        self.voided: list[float] = []
-        self.took: list[float] = []  # seconds times settled tries
-        self.heard_at: list[float] = []
+        self.tries, self.voided, self.took = list[float](), list[float](), list[float]()  # fading sums
+        self.heard_at, self.rest = list[float](), list[float]()
         self.cap: list[float] = []  # the most of its listed weight; 0 when withdrawn
         self.due: list[float] = []  # when the next step up, or the trial, may come
-        self.rest: list[float] = []
 
     def grow(self, size: int) -> None:
         for _ in range(size - len(self.tries)):
@@ -138,6 +135,10 @@
             self.cap.append(1.0)
             self.rest.append(self.REST)
 
+    def regain(self, i: int, now: float) -> None:
+        if not self.cap[i]:
+            self.start(i, 1.0, now)
+
     def start(self, i: int, cap: float, due: float) -> None:
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
         self.cap[i], self.due[i] = cap, due
@@ -204,10 +205,8 @@
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
-        self.settled = 0  # tries since the last beat
-        self.rate = self.best = 0.0  # settled tries a second, smoothed, and the best of late
-        self.target = inf  # txns a second to let in
-        self.last = inf
+        self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
+        self.target = self.last = inf  # txns a second to let in, and the time of the last beat
 
     def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
@@ -301,28 +300,23 @@
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
     def __init__(self, trade: face.Trade) -> None:
-        random = Random(trade.seed)
-        self.uniform = random.uniform
+        self.uniform = Random(trade.seed).uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
-        self.fleet = Fleet()
-        self.account = Account(trade.channel)
-        self.health = Health(random)
+        self.fleet, self.account = Fleet(), Account(trade.channel)
+        self.health = Health(self.uniform)
         self.gate = Gate(trade.products) if trade.admits == "share" else None
         self.all_in = 1.0 if self.gate else 1e6  # where levels are rates, a share of 1 would shut a proxy
         self.proxies: dict[int, Proxy] = {}
         self.current: dict[int, Table] = {}
         self.changes: dict[int, Change] = {}
         self.retired: list[Table] = []
-        self.out: set[int] = set()
         self.versions = self.last_mark = self.last_number = self.last_token = 0
-        self.numbers: set[int] = set()  # of tables in use
+        self.out, self.probing, self.numbers = set[int](), set[int](), set[int]()  # the last: of tables laid
         self.armed: set[float] = set()
         self.ask_at, self.ask_wait = -inf if trade.must_ask else inf, self.ASK_WAIT
-        self.probing: set[int] = set()
-        self.noted: dict[int, float] = {}
-        self.told = False
+        self.noted, self.told = dict[int, float](), False
 
     # Events: what is known.
 
@@ -352,8 +346,9 @@
                 for change in self.changes.values():
                     change.awaited.discard(proxy)
                 if isinstance(event, face.Joined):
-                    if all(other.zone != event.zone for other in self.proxies.values()):
-                        self._regain(now, event.zone)
+                    for i, zone in enumerate(self.fleet.zones):
+                        if zone == event.zone not in [other.zone for other in self.proxies.values()]:
+                            self.health.regain(i, now)  # the zone's first proxy is back: it can be reached again
                     self.proxies[proxy] = Proxy(event.zone)
             case face.Answered(proxy, mark, took) if mark in self.account.sent:
                 if proxy in self.account.sent[mark][3]:
@@ -373,12 +368,6 @@
             case face.Asked(product=name) if self.gate and name in self.gate.came:
                 self.gate.came[name] += event.txns
 
-    def _regain(self, now: float, zone: str) -> None:
-        """A zone whose first proxy is back can be reached again: no trials; starts that are known still ramp."""
-        for i, place in enumerate(self.fleet.zones):
-            if place == zone and not self.health.cap[i]:
-                self.health.start(i, 1.0, now)
-
     def _answered(self, proxy: int, passed: set[int]) -> None:
         for change in self.changes.values():
             if change.mark in passed:
