--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -2,8 +2,8 @@
 
 Call `Balancer(trade)` at the start, then `decide(now, events)` for each batch, with the clock in seconds; it
 returns orders in the order in which they take effect. The plain types are in `dunlinlug/interface.py`. Events
-change what is known, `_plan` turns that into a wanted state, `_emit` alone orders the difference to the present
-one. `docs/design.md` tells how this follows CCU, the concurrent two-phase update.
+change what is known, `_plan` turns that into a wanted state, `_emit` alone orders the difference to it.
+`docs/design.md` tells how this follows CCU, the concurrent two-phase update.
 """
 
 from collections import deque
@@ -348,7 +348,7 @@
                 if isinstance(event, face.Joined):
                     for i, zone in enumerate(self.fleet.zones):
                         if zone == event.zone not in [other.zone for other in self.proxies.values()]:
-                            self.health.regain(i, now)  # the zone's first proxy is back: it can be reached again
+                            self.health.regain(i, now)  # first proxy back: the zone is in reach again
                     self.proxies[proxy] = Proxy(event.zone)
             case face.Answered(proxy, mark, took) if mark in self.account.sent:
                 if proxy in self.account.sent[mark][3]:
@@ -430,7 +430,7 @@
     def _emit(self, now: float, wanted: Wanted) -> list[face.Order]:
         orders: list[face.Order] = []
         lines: dict[int, float] = {}
-        account, everyone = self.account, False
+        account, everyone, kept = self.account, False, self.KEPT_MESSAGES
         mark = self._free(self.last_mark, self.account.sent)
 
         def spend(cost: dict[int, float], ordinary: bool, budget: float = inf) -> bool:
@@ -438,8 +438,8 @@
             head, waiting = account.channel.message_lines + 1.0, account.waiting() + sum(lines.values())
             more = sum(n if p in lines else n + head for p, n in cost.items())
             most = account.channel.waiting_most * (1.0 - self.KEPT_BACK * ordinary)
-            if waiting > budget * account.rate or waiting + more > most or any(
-                    p not in lines and account.messages_left(p, now) <= self.KEPT_MESSAGES * ordinary for p in cost):
+            scarce = (p for p in cost.keys() - lines if account.messages_left(p, now) <= kept * ordinary)
+            if waiting > budget * account.rate or waiting + more > most or any(True for _ in scarce):
                 return False
             lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
             return True
@@ -448,7 +448,7 @@
         for i in wanted.parts:
             if health.cap[i] != self.noted.get(i, 1.0):
                 self.noted[i] = health.cap[i]
-                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of its "
+                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} "
                                         f"{health.tries[i]:.0f} tries voided, pace {health.pace(i):.2f} s"))
         # Withdrawals first, without stages; then levels, which must not wait behind a change either.
         for i in sorted(wanted.out ^ self.out):
@@ -471,14 +471,14 @@
         for k in largest:
             if k not in self.current:
                 self.current[k] = self._lay(orders, k, wanted)
-            elif k not in self.changes and size[k] and spend(dict.fromkeys(self.proxies, 0.0), True, self.TURN):
+            elif size[k] and k not in self.changes and spend(dict.fromkeys(self.proxies, 0), True, self.TURN):
                 self.versions, everyone = self.versions + 1, True
                 laid = self._lay(orders, k, wanted)
                 self.changes[k] = Change(self.versions, laid, self.current[k], mark, now, set(self.proxies))
         # Ready changes become current within the window; then whoever is on another table is bound.
         for k, change in self.changes.items():
-            if not change.bound and not change.awaited and not any(other.awaited for other in self.changes.values()
-                                                                   if other.version < change.version - self.WINDOW):
+            older = [c for c in self.changes.values() if c.version < change.version - self.WINDOW]
+            if not change.bound and not change.awaited and not any(c.awaited for c in older):
                 change.bound, self.current[k] = True, change.table
                 self.retired.append(change.old)
         for joiners in (True, False):
@@ -529,7 +529,7 @@
         """How much weight a change would move, as a part of the whole."""
         have, want = table.shares if table else {}, wanted.shares
         all_have, all_want = sum(have.values()) or 1.0, sum(want.values()) or 1.0
-        moved = (abs(have.get(i, 0.0) / all_have - want.get(i, 0.0) / all_want) for i in sorted({**have, **want}))
+        moved = (abs(have.get(i, 0) / all_have - want.get(i, 0) / all_want) for i in sorted({**have, **want}))
         return sum(moved) if have != want else 0.0
 
     def _wake(self, now: float, orders: list[face.Order], wanted: Wanted) -> None:
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,213 @@
+"""A slow, plain model of proxies, channel and rules: it obeys to the letter and says which rule broke."""
+
+from collections import defaultdict
+from random import Random
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Balancer
+
+ZONES = ("north", "south", "east")
+
+
+def trade(**changes: object) -> face.Trade:
+    products = (face.Product("read", 0.8, 2.0, 1.0, repeats="inquiry-like"),
+                face.Product("book", 0.8, 2.0, 5.0, repeats="once-only"))
+    channel = face.Channel(1200.0, 4.0, 2400.0, 0.2, 0.5, 30, 10.0)
+    duties = face.Duties(5.0, 3.0, 10.0, 16.0, 0.2, 3.0, 2.0)
+    given = {"seed": 7, "zone": "north", "products": products, "channel": channel, "duties": duties,
+             "admits": "share"}
+    return face.Trade(**{**given, **changes})
+
+
+def worker(n: int, state: str = "ready", since: float | None = None) -> face.Worker:
+    return face.Worker(f"10.0.0.{n}:80", ZONES[n % 3], "plain", 0, state, 1.0, since)
+
+
+class Model:
+    """Follows one manager's orders; `broken` names each rule that was seen broken."""
+
+    def __init__(self, what: face.Trade, pace: float = 1.0) -> None:
+        self.trade, self.pace, self.now = what, pace, 0.0
+        self.module = Balancer(what)
+        self.orders: list[face.Order] = []
+        self.broken: set[str] = set()
+        self.listed: dict[str, face.Worker] = {}
+        self.told: dict[str, float] = {}  # when a worker was first told to be leaving or gone
+        self.known: dict[str, float] = {}  # when its last start was told
+        self.restart()
+
+    def restart(self) -> None:
+        """A new process: what waits, travels or was withdrawn is lost, and no proxy is joined."""
+        self.tables: dict[int, dict[str, float]] = defaultdict(dict)
+        self.withdrawn: set[str] = set()
+        self.bound: dict[int, dict[int, int]] = {}  # joined proxy -> product -> table, as ordered
+        self.holds: dict[int, dict[int, tuple[int, dict[str, float]]]] = {}  # the same, as applied
+        self.shut: dict[int, set[str]] = {}
+        self.joined: dict[int, float] = {}
+        self.bare: dict[tuple[int, int], float] = {}
+        self.queue: list[tuple[int, float, list]] = []  # proxy, lines, what the message does
+        self.flying: list[tuple[float, int, list]] = []
+        self.rings: list[tuple[float, int]] = []
+        self.written: dict[int, list[float]] = defaultdict(list)
+
+    def step(self, span: float, events: list[face.Event]) -> None:
+        """Let time pass, deliver what is due, tell the module, obey it, and check every rule."""
+        self.now += span
+        room = span * self.trade.channel.lines_per_s * self.pace
+        while self.queue and room > 0:
+            proxy, lines, acts = self.queue[0]
+            if lines > room:
+                self.queue[0] = (proxy, lines - room, acts)
+                break
+            room -= lines
+            self.queue.pop(0)
+            self.flying.append((self.now + self.trade.channel.transit, proxy, acts))
+        due = [flight for flight in self.flying if flight[0] <= self.now]
+        self.flying = [flight for flight in self.flying if flight[0] > self.now]
+        answers: list[face.Event] = [answer for _, proxy, acts in due for answer in self._apply(proxy, acts)]
+        rung = [face.Rung(token) for at, token in self.rings if at <= self.now]
+        self.rings = [ring for ring in self.rings if ring[0] > self.now]
+        for event in events:
+            self._meet(event)
+        self.orders = self.module.decide(self.now, [*events, *answers, *rung])
+        self._obey()
+        self._check()
+
+    def _apply(self, proxy: int, acts: list) -> list[face.Event]:
+        answers: list[face.Event] = []
+        for act in acts if proxy in self.joined else ():
+            match act:
+                case ("bind", product, number, lines, out):
+                    self.holds[proxy][product] = (number, lines)
+                    self.shut[proxy] |= out
+                case ("withdraw", name, out):
+                    (self.shut[proxy].add if out else self.shut[proxy].discard)(name)
+                case ("mark", number):
+                    answers.append(face.Answered(proxy, number, 0.3))
+        return answers
+
+    def _meet(self, event: face.Event) -> None:
+        match event:
+            case face.Joined(proxy):
+                old = worker(99, "gone").id
+                self.holds[proxy] = {k: (0, {old: 1.0}) for k in range(len(self.trade.products))}
+                self.bound[proxy], self.shut[proxy], self.joined[proxy] = {}, set(), self.now
+                self.written[proxy] = []
+            case face.Left(proxy):
+                self.joined.pop(proxy, None)
+                self.bound.pop(proxy, None)
+                self.queue = [message for message in self.queue if message[0] != proxy]
+                self.flying = [flight for flight in self.flying if flight[1] != proxy]
+            case face.Listed(form, workers) if form != "failed":
+                if form != "changes":
+                    self.listed = {}
+                for entry in workers:
+                    self.listed[entry.id] = entry
+                    if entry.state == "ready":
+                        self.told.pop(entry.id, None)
+                        self.known[entry.id] = self.now
+                    else:
+                        self.told.setdefault(entry.id, self.now)
+
+    def _obey(self) -> None:
+        acts: dict[int, list] = defaultdict(list)
+        lines: dict[int, float] = defaultdict(float)
+        for order in self.orders:
+            match order:
+                case face.Share(number, name, weight):
+                    self.tables[number][name] = weight
+                case face.Clear(number):
+                    if any(number in bound.values() for bound in self.bound.values()):
+                        self.broken.add("a table cleared under a proxy")
+                    del self.tables[number]
+                case face.Bind(proxy, product, number):
+                    table = dict(self.tables[number])
+                    acts[proxy].append(("bind", product, number, table, self.withdrawn & table.keys()))
+                    lines[proxy] += 2 + len(table) + len(self.withdrawn & table.keys())
+                    self.bound[proxy][product] = number
+                case face.Withdraw(name, out):
+                    (self.withdrawn.add if out else self.withdrawn.discard)(name)
+                    for proxy in self.joined:
+                        if any(name in held for _, held in self.holds[proxy].values()) or any(
+                                name in self.tables[number] for number in self.bound[proxy].values()):
+                            acts[proxy].append(("withdraw", name, out))
+                            lines[proxy] += 1
+                case face.Admit(number, product, retry, _):
+                    if retry > 1 and self.trade.products[product].repeats != "inquiry-like":
+                        self.broken.add("an effect twice")
+                    for proxy, bound in self.bound.items():
+                        lines[proxy] += number in bound.values()
+                case face.Mark(number, everyone):
+                    for proxy in list(self.joined) if everyone else [p for p in lines if lines[p]]:
+                        acts[proxy].append(("mark", number))
+                        lines[proxy] += 1
+                case face.Wake(after, token):
+                    self.rings.append((self.now + after, token))
+        for proxy in [p for p in self.joined if lines[p]]:
+            self.queue.append((proxy, lines[proxy] + self.trade.channel.message_lines, acts[proxy]))
+            self.written[proxy] = [at for at in self.written[proxy] if at > self.now - 10.0] + [self.now]
+
+    def _check(self) -> None:
+        duties, slow = self.trade.duties, 1 / self.pace
+        warm = [w for w in self.listed.values() if w.state == "ready" and (
+            w.since is None or self.now - w.since >= duties.warm_after)]
+        if sum(lines for _, lines, _ in self.queue) > self.trade.channel.waiting_most:
+            self.broken.add("queue")
+        if any(len(times) > self.trade.channel.messages_most for times in self.written.values()):
+            self.broken.add("messages")
+        for proxy, joined in self.joined.items():
+            for product, (_, held) in self.holds[proxy].items():
+                usable = {name: w for name, w in held.items() if name not in self.shut[proxy]}
+                since = self.bare.setdefault((proxy, product), self.now)
+                if usable or not warm:
+                    del self.bare[proxy, product]
+                elif self.now - max(since, joined) > duties.bare * slow:
+                    self.broken.add("bare")
+                for name, share in usable.items():
+                    told = self.told.get(name, self.now if name in self.listed else 0.0)
+                    if self.now - max(told, joined) > duties.drain_grace * slow:
+                        self.broken.add("drain")
+                    entry = self.listed.get(name)
+                    if not entry or entry.state != "ready" or entry.since is None or not warm:
+                        continue
+                    age, heard = self.now - entry.since, max(self.known.get(name, 0.0), joined)
+                    if self.now - heard > duties.drain_grace * slow and share / (entry.weight or 1.0) > (
+                            0.2 + 0.8 * age / duties.warm_after) * duties.fall_multiple / 2:
+                        self.broken.add("cold")
+
+
+def run(model: Model, seed: int, steps: int = 400) -> Model:
+    """A generated run of events: workers drain, restart and come, proxies and the manager come and go."""
+    random = Random(seed)
+    fleet = {n: worker(n) for n in range(9)}
+    start: list[face.Event] = [face.Listed("kept", tuple(fleet.values()))]
+    for _ in range(steps):
+        events, start = start, []
+        if random.random() < 0.03:
+            n = random.randrange(12)
+            state = random.choice(["ready", "draining", "gone"]) if n in fleet else "ready"
+            if state != "ready" and sum(w.state == "ready" for w in fleet.values()) < 5:
+                continue
+            fleet[n] = worker(n, state, model.now - random.uniform(0.5, 2.0))
+            events.append(face.Listed("changes", (fleet[n],)))
+        if random.random() < 0.15:
+            proxy = random.randrange(8)
+            events.append(face.Left(proxy) if proxy in model.joined else face.Joined(
+                proxy, random.choice(ZONES), 5.0, random.random() < 0.5))
+        if random.random() < 0.5:
+            tries = random.randrange(1, 30)
+            voided = random.choice([0, 0, 0, tries])
+            name = worker(random.randrange(13)).id
+            events.append(face.Met(random.choice(ZONES), name, tries, voided, 0.2, 0.5))
+        if random.random() < 0.01:
+            model.module = Balancer(model.trade)
+            model.restart()
+            start = [face.Listed("kept", tuple(w for w in fleet.values() if w.state != "gone"))]
+            events = []
+            continue
+        if random.random() < 0.02:
+            model.pace = random.choice([1.0, 0.5, 0.25])
+        events.append(face.Asked(random.randrange(8), "book", 9, 0, 0.5))
+        events.append(face.Answered(random.randrange(9), 3, 0.1))
+        model.step(0.1, events)
+    return model
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,102 @@
+"""The adapter's wire, from the outside."""
+
+import io
+import json
+import subprocess
+import sys
+
+import pytest
+
+from dunlinlug.balance import Balancer
+from dunlinlug.drill import codec
+from dunlinlug.drill.host import serve
+
+INFO = {
+    "dcs": ["north"], "zone": "north", "membershipMode": "subscribe", "caps": {"probes": True, "other": 1},
+    "lanes": [{"aimUs": 800000, "effect": "pure", "hardLimitUs": 2000000, "name": "read", "points": 1.0},
+              {"aimUs": 800000, "effect": "token", "hardLimitUs": 2000000, "name": "book", "points": 5.0}],
+    "reporting": {"fields": ["depth", "mean_ms"], "how": "answers"},
+    "rules": {"askEveryUs": 10000000, "coldUs": 18000000, "drainGraceUs": 3000000, "fallUs": 2000000,
+              "startCapacity": 0.2, "tipMultiple": 3.0},
+    "specifics": {"admit": "ratio", "egressPerS": 1300.0, "emptyForUs": 4700000, "pendingMax": 2000.0,
+                  "perMessage": 4.0, "transitUs": 252000, "usualHow": 1, "cycleUs": 500000, "keyRanges": 0},
+}
+ROW = {"worker": "10.0.0.1:80", "locality": "north", "classOfHost": "", "bay": 0, "state": "active", "weight": 1,
+       "sinceUs": None}
+
+
+def start(manager: str, **specifics: object) -> list[dict]:
+    info = {**INFO, "specifics": {**INFO["specifics"], **specifics}}
+    return [{"verb": "NewInstance", "manager": manager, "nonce64": 5, "info": info},
+            {"verb": "Discovery", "manager": manager, "form": "restored", "gen": 1, "membersList": [ROW]}]
+
+
+def talk(*batches: list[dict] | bytes) -> list[dict]:
+    lines = [b if isinstance(b, bytes) else json.dumps({"nowUs": 10**6 * (n + 1), "n": n, "happened": b}).encode()
+             for n, b in enumerate(batches)]
+    out = io.BytesIO()
+    serve(io.BytesIO(b"\n".join(lines) + b"\n"), out)
+    return [json.loads(line) for line in out.getvalue().splitlines()]
+
+
+def verbs(reply: dict, manager: str) -> list[str]:
+    return [decision["verb"] for decision in reply["decisions"] if decision["manager"] == manager]
+
+
+JOIN = {"verb": "Joined", "manager": "manager/0", "proxy": 4, "yes": True, "weight": 1.0, "locality": "north"}
+
+
+def test_a_joiner_is_bound_to_every_product_and_marked() -> None:
+    replies = talk(start("manager/0"), [JOIN], [])
+    assert "Watch" in verbs(replies[0], "manager/0")
+    assert verbs(replies[1], "manager/0")[:3] == ["AttachTable", "AttachTable", "Seal"]
+    assert [d["classes"] for d in replies[1]["decisions"] if d["verb"] == "AttachTable"] == [1, 2]
+    assert replies[2] == {"n": 2, "decisions": []}
+
+
+def test_instances_share_nothing_and_a_dropped_one_says_nothing() -> None:
+    alone = talk(start("manager/0"), [JOIN])
+    both = talk([*start("manager/1"), *start("manager/0")], [JOIN])
+    assert [d for d in both[1]["decisions"] if d["manager"] == "manager/0"] == alone[1]["decisions"]
+    gone = talk(start("manager/0"), [{"verb": "Detach", "manager": "manager/0"}, JOIN], [JOIN])
+    assert gone[1]["decisions"] == gone[2]["decisions"] == []
+    again = talk(start("manager/0"), [{"verb": "Detach", "manager": "manager/0"}, *start("manager/0")], [JOIN])
+    assert "AttachTable" in verbs(again[2], "manager/0")
+
+
+def test_unknown_verbs_and_departed_proxies_are_disregarded() -> None:
+    odd = [{"verb": "Comet", "tail": 1}, {"verb": "Left", "manager": "manager/0", "proxy": 77, "new": 2},
+           {"verb": "Receipt", "manager": "manager/0", "proxy": 77, "gen": 9, "costTimeUs": 1},
+           {"verb": "TrafficReport", "manager": "manager/0", "locality": "north", "worker": "10.9.9.9:1", "count": 1,
+            "errors": 1, "costTimeUs": 0, "windowUs": 500000, "usage": None}]
+    assert talk(start("manager/0"), odd)[1]["decisions"] == []
+
+
+def test_sites_with_slices_get_one_line_and_no_order() -> None:
+    replies = talk(start("manager/0", keyRanges=64), [JOIN])
+    assert verbs(replies[0], "manager/0") == ["JournalLine"]
+    assert replies[1]["decisions"] == []
+
+
+def test_a_fault_in_the_module_becomes_broken(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "decide", lambda self, now, events: 1 // 0)
+    decision = talk(start("manager/0"))[0]["decisions"][0]
+    assert decision["verb"] == "Broken" and "ZeroDivisionError" in decision["text"]
+
+
+def test_units_and_words_are_ours_inside() -> None:
+    met = codec.read_event("TrafficReport", {"locality": "north", "worker": "w", "count": 4, "errors": 1,
+                                             "costTimeUs": 250000, "windowUs": 500000, "usage": [3, 14.5]},
+                           ("queue", "service_s"))
+    assert (met.took, met.span, met.load) == (0.25, 0.5, {"queue": 3.0, "service_s": 0.0145})
+    assert codec.read_trade(start("manager/0")[0]).products[1].repeats == "referenced"
+
+
+@pytest.mark.parametrize(("line", "fault"), [
+    (b"{", "not JSON"), (b"[]", "object"), (b'{"happened":[]}', "nowUs"), (b'{"nowUs":1,"happened":{}}', "happened"),
+    (b'{"nowUs":1,"happened":[{"verb":"NewInstance","manager":"m"}]}', "NewInstance"),
+])
+def test_a_malformed_line_is_named_without_a_traceback(line: bytes, fault: str) -> None:
+    done = subprocess.run([sys.executable, "-m", "dunlinlug.drill"], input=line + b"\n", capture_output=True)
+    assert done.returncode != 0
+    assert fault in done.stderr.decode() and "Traceback" not in done.stderr.decode()
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,76 @@
+"""The module beside the plain model of the rules, on generated runs, and beside a broken module."""
+
+import pytest
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Account, Balancer, Wanted
+from tests.helpers import Model, run, trade, worker
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_generated_runs_keep_the_rules(seed: int) -> None:
+    model = run(Model(trade()), seed)
+    assert not model.broken
+
+
+def test_the_list_followed_by_asking_keeps_the_rules() -> None:
+    assert not run(Model(trade(must_ask=True, may_probe=True)), 3).broken
+
+
+def test_the_same_events_give_the_same_orders() -> None:
+    assert run(Model(trade()), 5, 200).orders == run(Model(trade()), 5, 200).orders
+
+
+def broken_by(monkeypatch: pytest.MonkeyPatch, change: object, pace: float = 1.0) -> set[str]:
+    plan = Balancer._plan
+
+    def bad(self: Balancer, now: float) -> Wanted:
+        wanted = plan(self, now)
+        change(self, wanted)
+        return wanted
+
+    monkeypatch.setattr(Balancer, "_plan", bad)
+    return set().union(*(run(Model(trade(), pace), seed).broken for seed in range(4)))
+
+
+def test_the_model_sees_proxies_left_bare(monkeypatch: pytest.MonkeyPatch) -> None:
+    def shut(module: Balancer, wanted: Wanted) -> None:
+        wanted.out.update(range(len(module.fleet.ids)))
+
+    assert "bare" in broken_by(monkeypatch, shut)
+
+
+def test_the_model_sees_an_effect_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    def again(module: Balancer, wanted: Wanted) -> None:
+        wanted.levels = [(1.0, 2)] * len(wanted.levels)
+
+    assert "an effect twice" in broken_by(monkeypatch, again)
+
+
+def test_the_model_sees_a_drain_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    def deaf(module: Balancer, wanted: Wanted) -> None:
+        wanted.out.clear()
+        wanted.shares = {i: 1.0 for i in range(len(module.fleet.ids))}
+
+    assert "drain" in broken_by(monkeypatch, deaf)
+
+
+def test_the_model_sees_a_cold_worker_pushed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "STEP", 1.0)
+    assert "cold" in broken_by(monkeypatch, lambda module, wanted: wanted.out.clear())
+
+
+def test_the_model_sees_a_long_queue(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Account, "waiting", lambda self: 0.0)
+    model = Model(trade(), 0.01)
+    model.step(0.1, [face.Listed("kept", tuple(worker(n) for n in range(30)))])
+    for n in range(60):
+        model.step(0.1, [face.Joined(n, "north", 1.0, True)])
+    assert "queue" in model.broken
+
+
+def test_the_model_sees_too_many_messages(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Account, "messages_left", lambda self, proxy, now: 99.0)
+    flip = iter(range(10**6))
+    assert "messages" in broken_by(monkeypatch, lambda module, wanted: setattr(
+        wanted, "out", {next(flip) % 2, 2 + next(flip) % 3} if module.fleet.ids else set()))
