--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -21,8 +21,8 @@
     "specifics": {"admit": "ratio", "egressPerS": 1300.0, "emptyForUs": 4700000, "pendingMax": 2000.0,
                   "perMessage": 4.0, "transitUs": 252000, "usualHow": 1, "cycleUs": 500000, "keyRanges": 0},
 }
-ROW = {"worker": "10.0.0.1:80", "locality": "north", "classOfHost": "", "bay": 0, "state": "active", "weight": 1,
-       "sinceUs": None}
+ROW = {"worker": "10.0.0.1:80", "locality": "north", "classOfHost": "", "bay": 0, "state": "active",
+       "weight": 1, "sinceUs": None}
 
 
 def start(manager: str, **specifics: object) -> list[dict]:
@@ -31,9 +31,9 @@
             {"verb": "Discovery", "manager": manager, "form": "restored", "gen": 1, "membersList": [ROW]}]
 
 
-def talk(*batches: list[dict] | bytes) -> list[dict]:
-    lines = [b if isinstance(b, bytes) else json.dumps({"nowUs": 10**6 * (n + 1), "n": n, "happened": b}).encode()
-             for n, b in enumerate(batches)]
+def talk(*batches: list[dict]) -> list[dict]:
+    lines = [json.dumps({"nowUs": 10**6 * (n + 1), "n": n, "happened": batch}).encode()
+             for n, batch in enumerate(batches)]
     out = io.BytesIO()
     serve(io.BytesIO(b"\n".join(lines) + b"\n"), out)
     return [json.loads(line) for line in out.getvalue().splitlines()]
@@ -58,17 +58,18 @@
     alone = talk(start("manager/0"), [JOIN])
     both = talk([*start("manager/1"), *start("manager/0")], [JOIN])
     assert [d for d in both[1]["decisions"] if d["manager"] == "manager/0"] == alone[1]["decisions"]
-    gone = talk(start("manager/0"), [{"verb": "Detach", "manager": "manager/0"}, JOIN], [JOIN])
+    end = {"verb": "Detach", "manager": "manager/0"}
+    gone = talk(start("manager/0"), [end, JOIN], [JOIN])
     assert gone[1]["decisions"] == gone[2]["decisions"] == []
-    again = talk(start("manager/0"), [{"verb": "Detach", "manager": "manager/0"}, *start("manager/0")], [JOIN])
+    again = talk(start("manager/0"), [end, *start("manager/0")], [JOIN])
     assert "AttachTable" in verbs(again[2], "manager/0")
 
 
 def test_unknown_verbs_and_departed_proxies_are_disregarded() -> None:
     odd = [{"verb": "Comet", "tail": 1}, {"verb": "Left", "manager": "manager/0", "proxy": 77, "new": 2},
            {"verb": "Receipt", "manager": "manager/0", "proxy": 77, "gen": 9, "costTimeUs": 1},
-           {"verb": "TrafficReport", "manager": "manager/0", "locality": "north", "worker": "10.9.9.9:1", "count": 1,
-            "errors": 1, "costTimeUs": 0, "windowUs": 500000, "usage": None}]
+           {"verb": "TrafficReport", "manager": "manager/0", "locality": "north", "worker": "10.9.9.9:1",
+            "count": 1, "errors": 1, "costTimeUs": 0, "windowUs": 500000, "usage": None}]
     assert talk(start("manager/0"), odd)[1]["decisions"] == []
 
 
@@ -93,7 +94,8 @@
 
 
 @pytest.mark.parametrize(("line", "fault"), [
-    (b"{", "not JSON"), (b"[]", "object"), (b'{"happened":[]}', "nowUs"), (b'{"nowUs":1,"happened":{}}', "happened"),
+    (b"{", "not JSON"), (b"[]", "object"), (b'{"happened":[]}', "nowUs"),
+    (b'{"nowUs":1,"happened":{}}', "happened"),
     (b'{"nowUs":1,"happened":[{"verb":"NewInstance","manager":"m"}]}', "NewInstance"),
 ])
 def test_a_malformed_line_is_named_without_a_traceback(line: bytes, fault: str) -> None:
