--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -170,7 +170,7 @@
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
             brisk = self.pace(i) <= self.PACE * self.calm
-            if failing and (brisk or settled < 0.5):
+            if failing and part >= self.SILENT and (brisk or settled < 0.5):
                 cap = 0.0
             elif failing and not busy:
                 cap = min(cap, self.JAMMED_SHARE)
