--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -170,7 +170,7 @@
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
             brisk = self.pace(i) <= self.PACE * self.calm
-            if failing and part >= self.SILENT and (brisk or settled < 0.5):
+            if failing and (brisk or settled < 0.5):
                 cap = 0.0
             elif failing and not busy:
                 cap = min(cap, self.JAMMED_SHARE)
@@ -191,7 +191,7 @@
 
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
-    SLOW = 0.75  # median settling time, in SLA times, taken for overload
+    SLOW = 0.55  # median settling time, in SLA times, taken for overload
     CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
     BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
