--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -190,8 +190,8 @@
     """How much of each product is let in: under overload the least revenue per work is refused first."""
 
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
-    VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
-    SLOW = 0.55  # median settling time, in SLA times, taken for overload
+    VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
+    SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
     BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
