--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -192,10 +192,9 @@
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
-    CALM = 0.6  # of either bound: below it more is let in again (hysteresis)
+    CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
-    BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate or while idle, and beyond it
-    IDLE = 0.35  # of either bound: there is room, though a manager that began in a jam knows no better rate
+    BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -224,7 +223,7 @@
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            self.target *= self.BACK if self.target < self.best or stress < self.IDLE else self.MORE
+            self.target *= self.BACK if self.target < self.best else self.MORE
             self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
