--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -194,10 +194,11 @@
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
-    BACK, MORE = 1.3, 1.05  # for each calm beat, up to the best settled rate, and beyond it
+    BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
-    FEWEST = 0.2  # tries for each txn let in, at least: clients come back a few times each
+    FEWEST, LEARN = 0.2, 0.2  # least of these for a txn let in where clients' repeats are refused like the first
+    NEAR = 0.8  # of the best settled rate, from which more is let in gently
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -207,7 +208,7 @@
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
-        self.tried, self.let, self.tries = 0.0, 1.0, 1.0  # since the last beat; let in and tried a second
+        self.follow = 1.0  # settled tries for each txn let in, in calm times
         self.shares = [1.0] * len(products)
         self.target = self.last = inf  # tries a second to let through, and the time of the last beat
 
@@ -221,31 +222,27 @@
         self.asked = [asked + (max(n, 0.1) / span - asked) / 2 for asked, n in came]
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
-        self.tries += (self.tried / span - self.tries) / 2
-        self.let += (sum(a * share for a, share in zip(self.asked, self.shares, strict=True)) - self.let) / 2
-        self.came, self.settled, self.tried = dict.fromkeys(self.came, 0), 0, 0
+        self.came, self.settled = dict.fromkeys(self.came, 0), 0
         stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            self.target *= self.BACK if self.target < self.best else self.MORE
-            self.target = self.target if self.target < sum(self.asked) * self.comes() else inf
+            let = sum(asked * share for asked, share in zip(self.asked, self.shares, strict=True))
+            self.follow += (min(max(self.rate / let, self.FEWEST), 1.0) - self.follow) * self.LEARN
+            self.target *= self.BACK if self.rate < self.NEAR * self.best else self.MORE
+            self.target = self.target if self.target < sum(self.asked) * self.follow else inf
 
     def work(self) -> list[float]:
         return [asked * sla for asked, sla in zip(self.asked, self.sla, strict=True)]
 
-    def comes(self) -> float:
-        """Tries for each txn let in: far fewer than one where clients' repeats are refused like the first."""
-        return min(max(self.tries / self.let, self.FEWEST), 1.0)
-
     def levels(self) -> list[float]:
-        """Each product's share let in, in coarse steps so that small moves cost no orders."""
+        """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = self.work()
-        rest = max(0.0, 1.0 - self.target / sum(self.asked) / self.comes()) * sum(work)
+        rest = max(0.0, 1.0 - self.target / sum(self.asked) / self.follow) * sum(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
-            self.shares[k] = max(round(20 * (1.0 - refused / work[k])) / 20, self.FLOOR)
+            self.shares[k] = max(round(10 * (1.0 - refused / work[k])) / 10, self.FLOOR)
         return self.shares
 
 
@@ -366,7 +363,6 @@
                 i = self.fleet.index[worker]
                 if self.gate:
                     self.gate.settled += event.tries - event.voided
-                    self.gate.tried += event.tries
                 if self.health.cap[i]:
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case face.Probed(worker=worker) if worker in self.fleet.index:
