--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -194,11 +194,9 @@
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.9  # times what is let in for each beat in overload
-    BACK, MORE = 1.3, 1.1  # for each calm beat, up to the best settled rate, and beyond it
+    BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
-    FEWEST, LEARN = 0.2, 0.2  # least of these for a txn let in where clients' repeats are refused like the first
-    NEAR = 0.8  # of the best settled rate, from which more is let in gently
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -208,9 +206,7 @@
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
-        self.follow = 1.0  # settled tries for each txn let in, in calm times
-        self.shares = [1.0] * len(products)
-        self.target = self.last = inf  # tries a second to let through, and the time of the last beat
+        self.target = self.last = inf  # txns a second to let in, and the time of the last beat
 
     def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
@@ -227,10 +223,8 @@
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            let = sum(asked * share for asked, share in zip(self.asked, self.shares, strict=True))
-            self.follow += (min(max(self.rate / let, self.FEWEST), 1.0) - self.follow) * self.LEARN
-            self.target *= self.BACK if self.rate < self.NEAR * self.best else self.MORE
-            self.target = self.target if self.target < sum(self.asked) * self.follow else inf
+            self.target *= self.BACK if self.target < self.best else self.MORE
+            self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
         return [asked * sla for asked, sla in zip(self.asked, self.sla, strict=True)]
@@ -238,12 +232,12 @@
     def levels(self) -> list[float]:
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = self.work()
-        rest = max(0.0, 1.0 - self.target / sum(self.asked) / self.follow) * sum(work)
+        rest, shares = max(0.0, 1.0 - self.target / sum(self.asked)) * sum(work), [1.0] * len(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
-            self.shares[k] = max(round(10 * (1.0 - refused / work[k])) / 10, self.FLOOR)
-        return self.shares
+            shares[k] = max(round(10 * (1.0 - refused / work[k])) / 10, self.FLOOR)
+        return shares
 
 
 @dataclass(eq=False)
