--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -193,7 +193,7 @@
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
-    LESS = 0.8  # times what is let in for each beat in overload
+    LESS = 0.65  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
