--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -194,7 +194,7 @@
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.65  # times what is let in for each beat in overload
-    NEAR, BACK, MORE = 0.5, 1.25, 1.04  # for each calm beat, up to half the best settled rate, and beyond it
+    NEAR, BACK, MORE = 0.5, 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -223,7 +223,8 @@
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            self.target *= self.BACK if self.rate < self.NEAR * self.best else self.MORE
+            short = self.target < self.best or self.rate < self.NEAR * self.best
+            self.target *= self.BACK if short else self.MORE
             self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
