--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -192,9 +192,10 @@
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
+    SLOWER = 1.7  # times the calm median pace, if that is later
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.65  # times what is let in for each beat in overload
-    NEAR, BACK, MORE = 0.5, 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
+    BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -208,7 +209,7 @@
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
         self.target = self.last = inf  # txns a second to let in, and the time of the last beat
 
-    def step(self, now: float, voided: float, pace: float) -> None:
+    def step(self, now: float, voided: float, pace: float, calm: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
         self.last = min(self.last, now)
         if now < self.last + self.BEAT:
@@ -219,12 +220,12 @@
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
-        stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
+        slow = max(self.SLOW * sum(self.work()) / sum(self.asked), self.SLOWER * calm)
+        stress = max(voided / self.VOIDED, pace / slow)
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            short = self.target < self.best or self.rate < self.NEAR * self.best
-            self.target *= self.BACK if short else self.MORE
+            self.target *= self.BACK if self.target < self.best else self.MORE
             self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
@@ -396,7 +397,7 @@
         levels = [(self.all_in, 1)] * self.products
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         if self.gate and heard:
-            self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
+            self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)), health.calm)
             shares = self.gate.levels()
             # Danger: an effect twice. Nothing is tried again but on proof that the first try never ran; in
             # overload not at all, as a second try at a full worker's neighbour fills that one too.
