--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -192,7 +192,6 @@
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
-    SLOWER = 1.7  # times the calm median pace, if that is later
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.65  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
@@ -209,7 +208,7 @@
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
         self.target = self.last = inf  # txns a second to let in, and the time of the last beat
 
-    def step(self, now: float, voided: float, pace: float, calm: float) -> None:
+    def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
         self.last = min(self.last, now)
         if now < self.last + self.BEAT:
@@ -220,8 +219,7 @@
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
-        slow = max(self.SLOW * sum(self.work()) / sum(self.asked), self.SLOWER * calm)
-        stress = max(voided / self.VOIDED, pace / slow)
+        stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
             self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
@@ -397,7 +395,7 @@
         levels = [(self.all_in, 1)] * self.products
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         if self.gate and heard:
-            self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)), health.calm)
+            self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
             shares = self.gate.levels()
             # Danger: an effect twice. Nothing is tried again but on proof that the first try never ran; in
             # overload not at all, as a second try at a full worker's neighbour fills that one too.
