--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -193,8 +193,8 @@
     VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
-    CLOSE = 1.5  # at most what is let in is divided by for each beat in overload, as far as it goes beyond
-    BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
+    CLOSE = 1.6  # at most what is let in is divided by for each beat in overload, as far as it goes beyond
+    OPEN = 0.4  # part more let in for each calm beat, times the distance to that bound: gently near it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -223,7 +223,7 @@
         if stress > 1.0:
             self.target = max(min(self.target, self.best) / min(stress, self.CLOSE), self.LEAST * self.best)
         elif stress < self.CALM:
-            self.target *= self.BACK if self.target < self.best else self.MORE
+            self.target *= 1.0 + self.OPEN * (self.CALM - stress)
             self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
