--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -190,11 +190,12 @@
     """How much of each product is let in: under overload the least revenue per work is refused first."""
 
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
-    VOIDED = 0.12  # median voided part of the tries taken for overload: above what a few bad workers cause
+    VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
+    SHORT = 0.85  # of the txns that come are settled while voids tell of overload: else there are but bad workers
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
-    CLOSE = 1.6  # at most what is let in is divided by for each beat in overload, as far as it goes beyond
-    OPEN = 0.4  # part more let in for each calm beat, times the distance to that bound: gently near it
+    LESS = 0.65  # times what is let in for each beat in overload
+    BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -219,11 +220,12 @@
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
-        stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
+        short = self.rate < self.SHORT * sum(self.asked)
+        stress = max(voided / self.VOIDED * short, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
-            self.target = max(min(self.target, self.best) / min(stress, self.CLOSE), self.LEAST * self.best)
+            self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            self.target *= 1.0 + self.OPEN * (self.CALM - stress)
+            self.target *= self.BACK if self.target < self.best else self.MORE
             self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
