--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -172,8 +172,6 @@
             brisk = self.pace(i) <= self.PACE * self.calm
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
-            elif failing and not busy:
-                cap = min(cap, self.JAMMED_SHARE)
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0
             most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
@@ -193,9 +191,8 @@
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
-    LESS = 0.55  # times what is let in for each beat in overload
-    BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
-    KNEE = 0.5  # of that share
+    LESS = 0.65  # times what is let in for each beat in overload
+    BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
     LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
     FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -207,8 +204,7 @@
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
-        self.share = self.knee = 1.0  # of the offered work, let in now and when overload last began
-        self.last, self.calm = inf, True
+        self.target = self.last = inf  # txns a second to let in, and the time of the last beat
 
     def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
@@ -223,11 +219,10 @@
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
         stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
-            self.knee = self.share if self.calm else self.knee
-            self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
+            self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
         elif stress < self.CALM:
-            self.share = min(self.share * (self.BACK if self.share < self.KNEE * self.knee else self.MORE), 1.0)
-        self.calm = stress <= 1.0
+            self.target *= self.BACK if self.target < self.best else self.MORE
+            self.target = self.target if self.target < sum(self.asked) else inf
 
     def work(self) -> list[float]:
         return [asked * sla for asked, sla in zip(self.asked, self.sla, strict=True)]
@@ -235,7 +230,7 @@
     def levels(self) -> list[float]:
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = self.work()
-        rest, shares = (1.0 - self.share) * sum(work), [1.0] * len(work)
+        rest, shares = max(0.0, 1.0 - self.target / sum(self.asked)) * sum(work), [1.0] * len(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
