A worker that was jammed goes back to three quarters of its share first

Cause: listed weights are rough, and a worker listed too high jammed again as soon as it was whole. It should also help with long slowness; it may leave a recovered worker short for 20 s.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -117,6 +117,7 @@
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
+    WEAK_SHARE, WEAK = 0.75, 20.0  # first share, and for how long, of a worker that was jammed: listed too high
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
     AGAIN = 1.0  # seconds between probes that fail
 
@@ -125,6 +126,7 @@
         self.calm = 0.0  # the median worker's pace when few void
         self.tries, self.voided, self.took = list[float](), list[float](), list[float]()  # fading sums
         self.heard_at, self.rest = list[float](), list[float]()
+        self.full: list[float] = []  # the cap that a worker in good state goes back to first
         self.cap: list[float] = []  # the most of its listed weight; 0 when withdrawn
         self.due: list[float] = []  # when the next step up, or the trial, may come
 
@@ -133,6 +135,7 @@
             for column in (self.tries, self.voided, self.took, self.heard_at, self.due):
                 column.append(0.0)
             self.cap.append(1.0)
+            self.full.append(1.0)
             self.rest.append(self.REST)
 
     def regain(self, i: int, now: float) -> None:
@@ -172,14 +175,16 @@
             brisk = self.pace(i) <= self.PACE * self.calm
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
+            elif failing and not busy:
+                cap, self.full[i] = min(cap, self.JAMMED_SHARE), self.WEAK_SHARE
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
-                cap = 1.0
+                cap = 1.0 if cap == self.full[i] else self.full[i]
             most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
             less = weight[i] * (self.cap[i] - cap)
             if not less or less > 0 and lost + less > most * whole:
                 continue
             lost += less
-            self.cap[i], self.due[i] = cap, now + (self.TRIAL if cap else self.rest[i] * self.uniform(1, 1.2))
+            self.cap[i], self.due[i] = cap, now + (self.WEAK if cap == self.WEAK_SHARE else self.TRIAL if cap else self.rest[i] * self.uniform(1, 1.2))
             if cap in (0.0, 1.0):
                 self.rest[i] = self.REST if cap else min(2 * self.rest[i], self.REST_MOST)
 
