--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -117,6 +117,7 @@
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
+    LATE, PLENTY = 2.5, 8.0  # times the median pace, over so many settled tries, for that share ahead of a jam
     WEAK_SHARE, WEAK = 0.75, 60.0  # first share, and for how long, of a worker that was jammed: listed too high
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
     AGAIN = 1.0  # seconds between probes that fail
@@ -177,6 +178,8 @@
                 cap = 0.0
             elif failing and not busy:
                 cap, self.full[i] = min(cap, self.JAMMED_SHARE), self.WEAK_SHARE
+            elif cap == 1.0 and not busy and settled >= self.PLENTY and self.pace(i) >= self.LATE * pace:
+                cap = self.full[i] = self.WEAK_SHARE
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0 if cap == self.full[i] else self.full[i]
             most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
