--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -117,7 +117,7 @@
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
-    LATE, PLENTY = 3.0, 6.0  # times the median pace, over so many settled tries, for that share ahead of a jam
+    LATE, PLENTY = 2.8, 12.0  # times the median pace, over so many settled tries, for that share ahead of a jam
     WEAK_SHARE, WEAK = 0.75, 60.0  # first share, and for how long, of a worker that was jammed: listed too high
     REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
     AGAIN = 1.0  # seconds between probes that fail
