--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -48,16 +48,14 @@
 
     def listed_weight(self) -> dict[int, float]:
         """Each ready worker's weight: as listed, or the average where the list tells none."""
-        told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w]
-        usual = sum(told) / len(told) if told else 1.0
-        return {i: self.weight[i] or usual for i, ready in enumerate(self.ready) if ready}
+        told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w] or [1.0]
+        return {i: self.weight[i] or sum(told) / len(told) for i, ready in enumerate(self.ready) if ready}
 
 
 class Account:
     """The channel account: how many lines may still wait, by what was ordered and what answers show."""
 
-    SAMPLE = 0.1  # seconds of usual drain below which an answer's time is mostly the way, not the channel
-    SLOWEST = 0.1  # of the usual pace; below this an estimate would stop ordinary orders altogether
+    SAMPLE, SLOWEST = 0.1, 0.1  # seconds of usual drain that a sample of the pace needs; least of the usual pace
 
     def __init__(self, channel: face.Channel) -> None:
         self.channel = channel
@@ -117,18 +115,17 @@
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
     TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
-    LATE, PLENTY = 2.8, 12.0  # times the median pace, over so many settled tries, for that share ahead of a jam
-    WEAK_SHARE, WEAK = 0.75, 60.0  # first share, and for how long, of a worker that was jammed: listed too high
-    REST, REST_MOST = 4.0, 16.0  # seconds out before a trial, doubled by each that fails
-    AGAIN = 1.0  # seconds between probes that fail
+    LATE, PLENTY = 2.5, 8.0  # times the median pace, over so many settled tries: a jam is near
+    WEAK_SHARE, WEAK = 0.75, 60.0  # share, and seconds of it, after or ahead of a jam: listed too high
+    REST, REST_MOST, AGAIN = 4.0, 16.0, 1.0  # seconds out before a trial, doubled by failures; between probes
 
     def __init__(self, uniform: Callable[[float, float], float]) -> None:
         self.uniform = uniform
         self.calm = 0.0  # the median worker's pace when few void
         self.tries, self.voided, self.took = list[float](), list[float](), list[float]()  # fading sums
         self.heard_at, self.rest = list[float](), list[float]()
-        self.full: list[float] = []  # the cap that a worker in good state goes back to first
-        self.cap: list[float] = []  # the most of its listed weight; 0 when withdrawn
+        # The most of its listed weight, 0 when withdrawn, and what a worker in good state goes back to first.
+        self.cap, self.full = list[float](), list[float]()
         self.due: list[float] = []  # when the next step up, or the trial, may come
 
     def grow(self, size: int) -> None:
@@ -139,10 +136,6 @@
             self.full.append(1.0)
             self.rest.append(self.REST)
 
-    def regain(self, i: int, now: float) -> None:
-        if not self.cap[i]:
-            self.start(i, 1.0, now)
-
     def start(self, i: int, cap: float, due: float) -> None:
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
         self.cap[i], self.due[i] = cap, due
@@ -187,7 +180,9 @@
             if not less or less > 0 and lost + less > most * whole:
                 continue
             lost += less
-            self.cap[i], self.due[i] = cap, now + (self.WEAK if cap == self.WEAK_SHARE else self.TRIAL if cap else self.rest[i] * self.uniform(1, 1.2))
+            rest = self.uniform(1, 1.2) * self.rest[i]
+            pause = {0.0: rest, self.WEAK_SHARE: self.WEAK}.get(cap, self.TRIAL)
+            self.cap[i], self.due[i] = cap, now + pause
             if cap in (0.0, 1.0):
                 self.rest[i] = self.REST if cap else min(2 * self.rest[i], self.REST_MOST)
 
@@ -299,8 +294,7 @@
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
-    KEPT_BACK = 0.4  # of the lines that may wait, kept for withdrawals, levels and joins
-    KEPT_MESSAGES = 10  # of the messages to a proxy in the span, kept for these
+    KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
     BEAT = 0.25  # seconds between looks while something is under way
     ASK_WAIT = 0.5  # seconds before asking for the list again, doubled by each failure
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
@@ -353,8 +347,9 @@
                     change.awaited.discard(proxy)
                 if isinstance(event, face.Joined):
                     for i, zone in enumerate(self.fleet.zones):
-                        if zone == event.zone not in [other.zone for other in self.proxies.values()]:
-                            self.health.regain(i, now)  # first proxy back: the zone is in reach again
+                        known = zone in [other.zone for other in self.proxies.values()]
+                        if zone == event.zone and not known and not self.health.cap[i]:
+                            self.health.start(i, 1.0, now)  # first proxy back: the zone is in reach again
                     self.proxies[proxy] = Proxy(event.zone)
             case face.Answered(proxy, mark, took) if mark in self.account.sent:
                 if proxy in self.account.sent[mark][3]:
@@ -499,8 +494,7 @@
                         orders.append(face.Bind(p, k, table.number))
                         proxy.holds[k] = [*held, (table, mark)]
                         proxy.bound_at = now
-        used = set(self._in_use())
-        for table in [table for table in self.retired if table.clear_at <= now and table not in used]:
+        for table in [t for t in self.retired if t.clear_at <= now and t not in self._in_use()]:
             orders.append(face.Clear(table.number))
             self.retired.remove(table)
             self.numbers.discard(table.number)
