--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -55,7 +55,7 @@
 class Account:
     """The channel account: how many lines may still wait, by what was ordered and what answers show."""
 
-    SAMPLE, SLOWEST = 0.1, 0.1  # seconds of usual drain that a sample of the pace needs; least of the usual pace
+    SAMPLE, SLOWEST = 0.1, 0.1  # seconds of usual drain for a sample of the pace; its least part
 
     def __init__(self, channel: face.Channel) -> None:
         self.channel = channel
@@ -180,9 +180,8 @@
             if not less or less > 0 and lost + less > most * whole:
                 continue
             lost += less
-            rest = self.uniform(1, 1.2) * self.rest[i]
-            pause = {0.0: rest, self.WEAK_SHARE: self.WEAK}.get(cap, self.TRIAL)
-            self.cap[i], self.due[i] = cap, now + pause
+            pause = {0.0: self.rest[i] * self.uniform(1, 1.2), self.WEAK_SHARE: self.WEAK}
+            self.cap[i], self.due[i] = cap, now + pause.get(cap, self.TRIAL)
             if cap in (0.0, 1.0):
                 self.rest[i] = self.REST if cap else min(2 * self.rest[i], self.REST_MOST)
 
