No further tries and no health verdicts before a calm fleet was seen

It should also hold for any start in a jam; it may judge a sick worker some seconds later after a start.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -163,6 +163,8 @@
         best, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
         if not busy:
             self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
+        elif not self.calm:
+            return  # a manager that began in a jam would take the jammed for silent
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
@@ -392,14 +394,14 @@
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             most[i] = min(part if part < 1.0 else inf, cap if cap < Health.JAMMED_SHARE else inf)
         self._advance(now)
-        levels = [(self.all_in, 1)] * self.products
+        levels = [(self.all_in, int(health.calm > 0.0))] * self.products
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         if self.gate and heard:
             self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
             shares = self.gate.levels()
             # Danger: an effect twice. Nothing is tried again but on proof that the first try never ran; in
-            # overload not at all, as a second try at a full worker's neighbour fills that one too.
-            levels = [(share, int(min(shares) == 1.0)) for share in shares]
+            # overload, or before a calm fleet was seen, not at all: second tries push the cold over too.
+            levels = [(share, int(min(shares) == 1.0 and health.calm > 0.0)) for share in shares]
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         out = {i for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
