--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -164,7 +164,7 @@
         if not busy:
             self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
         elif not self.calm:
-            return  # a manager that began in a jam would take the jammed for silent
+            return  # Danger: a manager that began in a jam would take the jammed for silent
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
@@ -197,8 +197,7 @@
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.65  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
-    LEAST = 0.5  # of the best settled rate is always let in: a jam hides the capacity
-    FORGET = 0.98  # of the best settled rate is kept each beat: half a minute or so
+    LEAST, FORGET = 0.5, 0.98  # of the best settled rate is always let in; and is kept each beat
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -394,21 +393,20 @@
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             most[i] = min(part if part < 1.0 else inf, cap if cap < Health.JAMMED_SHARE else inf)
         self._advance(now)
-        levels = [(self.all_in, int(health.calm > 0.0))] * self.products
+        shares = [self.all_in] * self.products
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         if self.gate and heard:
             self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
             shares = self.gate.levels()
-            # Danger: an effect twice. Nothing is tried again but on proof that the first try never ran; in
-            # overload, or before a calm fleet was seen, not at all: second tries push the cold over too.
-            levels = [(share, int(min(shares) == 1.0 and health.calm > 0.0)) for share in shares]
+        # Danger: an effect twice. On proof that no try ran, at most; none in overload or before a calm was seen.
+        retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         out = {i for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
         cold = {i for i in weight if most[i] < inf and health.cap[i]}
         if not weight.keys() - cold - out:
             out -= cold  # Danger: nobody left. Where none is warm, shares alone must do.
-        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
+        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, [(share, retry) for share in shares], out)
 
     def _in_use(self) -> list[Table]:
         return list(dict.fromkeys(table for proxy in self.proxies.values()
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,139 @@
+"""One small test for each failure found on the bench or in an incident."""
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Balancer
+from tests.helpers import ZONES, Model, trade, worker
+
+FLEET = tuple(worker(n) for n in range(9))
+
+
+def fleet(model: Model, met: dict[int, tuple[int, int, float]], seconds: float) -> list[face.Order]:
+    """Let proxies report each half second: by worker the tries, the voided ones and the pace of the others."""
+    orders: list[face.Order] = []
+    for _ in range(round(seconds / 0.5)):
+        events: list[face.Event] = []
+        for n, seen in met.items():
+            events.append(face.Met(ZONES[n % 3], worker(n).id, *seen, 0.5))
+        events += [face.Asked(1, name, 100, 0, 0.5) for name in ("read", "book")]
+        model.step(0.5, events)
+        orders += model.orders
+    return orders
+
+
+def started(seconds: float = 5.0, pace: float = 0.2, voided: int = 0, **changes: object) -> Model:
+    model = Model(trade(**changes))
+    model.step(0.1, [face.Listed("kept", FLEET)])
+    model.step(0.1, [face.Joined(p, ZONES[p % 3], 5.0, True) for p in range(6)])
+    fleet(model, {n: (20, voided, pace) for n in range(9)}, seconds)
+    return model
+
+
+def out(model: Model) -> set[str]:
+    return set(model.withdrawn)
+
+
+def levels(orders: list[face.Order], product: int) -> list[float]:
+    return [order.share for order in orders if isinstance(order, face.Admit) and order.product == product]
+
+
+def test_overload_condemns_nobody() -> None:
+    model = started()
+    fleet(model, {n: (20, 12 + n % 3, 1.5) for n in range(9)}, 6.0)
+    assert not out(model)
+
+
+def test_a_silent_worker_is_withdrawn_and_comes_back_by_trial() -> None:
+    model = started()
+    fleet(model, {n: (20, 20 if n == 4 else 0, 0.2) for n in range(9)}, 2.0)
+    assert out(model) == {worker(4).id}
+    fleet(model, {n: (20, 0, 0.2) for n in range(9) if n != 4}, 6.0)
+    bound = {number for tables in model.bound.values() for number in tables.values()}
+    shares = {model.tables[number][worker(4).id] for number in bound}
+    assert not out(model) and shares == {0.25}
+
+
+def test_health_never_takes_the_whole_fleet() -> None:
+    model = started()
+    fleet(model, {n: (20, 20 if n < 6 else 0, 0.2) for n in range(9)}, 5.0)
+    assert 0 < len(out(model)) <= 7
+
+
+def test_an_overfull_worker_keeps_half_its_share_and_goes_back_to_three_quarters() -> None:
+    model = started()
+    fleet(model, {n: (20, 10 if n == 4 else 0, 1.0 if n == 4 else 0.2) for n in range(9)}, 5.0)
+    assert not out(model) and model.module.health.cap[4] == 0.5
+    fleet(model, {n: (20, 0, 0.2) for n in range(9)}, 8.0)
+    assert model.module.health.cap[4] == 0.75
+
+
+def test_a_zone_in_reach_again_comes_back_without_trials() -> None:
+    model = started()
+    model.step(0.1, [face.Left(p) for p in (1, 4)])  # the south's proxies
+    fleet(model, {n: (20, 20 if n % 3 == 1 else 0, 0.2) for n in range(9)}, 3.0)
+    assert out(model) == {worker(n).id for n in (1, 4, 7)}
+    model.step(0.1, [face.Joined(1, "south", 5.0, False)])
+    assert [model.module.health.cap[n] for n in (1, 4, 7)] == [1.0] * 3
+
+
+def test_overload_refuses_the_least_revenue_first_and_then_opens_again() -> None:
+    model = started()
+    orders = fleet(model, {n: (20, 8, 1.2) for n in range(9)}, 2.0)
+    assert levels(orders, 0)[-1] <= 0.1 < 0.5 < levels(orders, 1)[-1]
+    assert all(order.retry == 0 for order in orders if isinstance(order, face.Admit))
+    orders = fleet(model, {n: (20, 0, 0.1) for n in range(9)}, 30.0)
+    assert levels(orders, 0)[-1] == 1.0
+
+
+def test_a_manager_that_starts_in_a_jam_withdraws_nobody_and_lets_nobody_try_twice() -> None:
+    model = started(4.0, 1.5, 15)
+    orders = fleet(model, {n: (20, 20 if n < 4 else 15, 1.5) for n in range(9)}, 3.0)
+    assert not out(model)
+    assert not [order for order in orders if isinstance(order, face.Admit) and order.retry]
+
+
+def test_a_worker_that_restarts_in_place_is_out_until_its_first_share_is_bound() -> None:
+    model = started()
+    model.step(0.1, [face.Listed("changes", (worker(4, "ready", model.now - 1.0),))])
+    assert out(model) == {worker(4).id}
+    for _ in range(80):
+        model.step(0.1, [])
+    assert not out(model) and not model.broken
+
+
+def test_numbers_are_used_again_only_when_free() -> None:
+    module = Balancer(trade())
+    assert module._free(0, {1, 2}) == 3
+    assert module._free(Balancer.NUMBERS - 1, {Balancer.NUMBERS, 1}) == 2
+
+
+def test_levels_that_are_rates_never_shut_a_proxy() -> None:
+    orders = fleet(started(admits="rate"), {n: (20, 0, 0.2) for n in range(9)}, 1.0)
+    model = Model(trade(admits="rate", usual_retry=2))
+    model.step(0.1, [face.Listed("kept", FLEET)])
+    assert all(share > 1000 for share in levels(orders + model.orders, 0))
+    assert levels(model.orders, 0)
+
+
+def test_a_failed_call_for_the_list_is_made_again_in_time() -> None:
+    model = Model(trade(must_ask=True))
+    model.step(0.1, [face.Listed("kept", FLEET)])
+    assert face.Follow() in model.orders
+    asked = []
+    for _ in range(200):
+        failed = [face.Listed("failed")] if face.Follow() in model.orders else []
+        model.step(0.1, failed)
+        if face.Follow() in model.orders:
+            asked.append(model.now)
+    gaps = [after - before for before, after in zip(asked, asked[1:], strict=False)]
+    assert len(asked) > 5 and max(gaps) < model.trade.duties.ask_every / 2
+
+
+def test_a_list_of_one_worker_none_and_gaps_is_borne() -> None:
+    model = Model(trade())
+    model.step(0.1, [face.Listed("kept", ())])
+    model.step(0.1, [face.Joined(1, "north", 5.0, True)])
+    model.step(0.1, [face.Listed("whole", (worker(1),)), face.Answered(1, 999, 0.1), face.Left(7)])
+    for _ in range(60):
+        model.step(0.1, [])
+    assert {name for _, held in model.holds[1].values() for name in held} == {worker(1).id}
+    assert not model.broken
