--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -398,15 +398,15 @@
         if self.gate and heard:
             self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
             shares = self.gate.levels()
-        # Danger: an effect twice. On proof that no try ran, at most; none in overload or before a calm was seen.
+        # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         out = {i for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
         cold = {i for i in weight if most[i] < inf and health.cap[i]}
-        if not weight.keys() - cold - out:
-            out -= cold  # Danger: nobody left. Where none is warm, shares alone must do.
-        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, [(share, retry) for share in shares], out)
+        out -= set() if weight.keys() - cold - out else cold  # Danger: nobody left, where none is warm
+        levels = [(share, retry) for share in shares]
+        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
 
     def _in_use(self) -> list[Table]:
         return list(dict.fromkeys(table for proxy in self.proxies.values()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,7 +8,7 @@
 
 
 def fleet(model: Model, met: dict[int, tuple[int, int, float]], seconds: float) -> list[face.Order]:
-    """Let proxies report each half second: by worker the tries, the voided ones and the pace of the others."""
+    """Let proxies report each half second: by worker tries, voided ones, and the others' pace."""
     orders: list[face.Order] = []
     for _ in range(round(seconds / 0.5)):
         events: list[face.Event] = []
