--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -195,8 +195,9 @@
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
-    LESS = 0.65  # times what is let in for each beat in overload
-    BACK, MORE = 1.25, 1.04  # for each calm beat, up to the best settled rate, and beyond it
+    LESS = 0.55  # times what is let in for each beat in overload
+    BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
+    KNEE = 0.5  # of that share
     LEAST, FORGET = 0.5, 0.98  # of the best settled rate is always let in; and is kept each beat
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
@@ -207,7 +208,8 @@
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
         self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
-        self.target = self.last = inf  # txns a second to let in, and the time of the last beat
+        self.share = self.knee = 1.0  # of the offered work, let in now and when overload last began
+        self.last, self.calm = inf, True
 
     def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
@@ -222,10 +224,11 @@
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
         stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
-            self.target = max(self.LESS * min(self.target, self.best), self.LEAST * self.best)
+            self.knee = self.share if self.calm else self.knee
+            self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
         elif stress < self.CALM:
-            self.target *= self.BACK if self.target < self.best else self.MORE
-            self.target = self.target if self.target < sum(self.asked) else inf
+            self.share = min(self.share * (self.BACK if self.share < self.KNEE * self.knee else self.MORE), 1.0)
+        self.calm = stress <= 1.0
 
     def work(self) -> list[float]:
         return [asked * sla for asked, sla in zip(self.asked, self.sla, strict=True)]
@@ -233,7 +236,7 @@
     def levels(self) -> list[float]:
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = self.work()
-        rest, shares = max(0.0, 1.0 - self.target / sum(self.asked)) * sum(work), [1.0] * len(work)
+        rest, shares = (1.0 - self.share) * sum(work), [1.0] * len(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
