--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -196,7 +196,7 @@
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.55  # times what is let in for each beat in overload
-    BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
+    BACK, MORE = 1.15, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
     KNEE = 0.5  # of that share
     LEAST, FORGET = 0.5, 0.98  # of the best settled rate is always let in; and is kept each beat
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
