--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -196,7 +196,7 @@
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.55  # times what is let in for each beat in overload
-    BACK, MORE = 1.15, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
+    BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
     KNEE = 0.5  # of that share
     LEAST, FORGET = 0.5, 0.98  # of the best settled rate is always let in; and is kept each beat
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
@@ -293,7 +293,7 @@
 
     WINDOW = 4  # versions: the paper's four status bits
     SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
-    LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
+    LIFETIME = 1.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
