A change ends with its last answer; the old table is cleared by itself

A product still has one change in flight; the clearing, which no proxy sees, no longer holds up the next.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -227,7 +227,8 @@
             self.knee = self.share if self.calm else self.knee
             self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
         elif stress < self.CALM:
-            self.share = min(self.share * (self.BACK if self.share < self.KNEE * self.knee else self.MORE), 1.0)
+            more = self.BACK if self.share < self.KNEE * self.knee else self.MORE
+            self.share = min(self.share * more, 1.0)
         self.calm = stress <= 1.0
 
     def work(self) -> list[float]:
@@ -266,7 +267,6 @@
     asked_at: float
     awaited: set[int]
     bound: bool = False
-    answered_at: float = inf
 
 
 @dataclass(eq=False)
@@ -293,7 +293,7 @@
 
     WINDOW = 4  # versions: the paper's four status bits
     SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
-    LIFETIME = 1.0  # seconds from the last answer to clearing: the design's start value
+    LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
@@ -421,11 +421,9 @@
         for k, change in list(self.changes.items()):
             if now >= change.asked_at + patience:
                 change.awaited.clear()  # silent proxies leave the awaited set
-            if change.bound and change.answered_at == inf and not any(
-                    proxy.holds.get(k) != [(change.table, 0)] and now < proxy.bound_at + patience
-                    for proxy in self.proxies.values()):
-                change.answered_at, change.old.clear_at = now, now + self.LIFETIME
-            if now >= change.answered_at + self.LIFETIME:
+            late = [p for p in self.proxies.values() if p.holds.get(k) != [(change.table, 0)]]
+            if change.bound and all(now >= proxy.bound_at + patience for proxy in late):
+                change.old.clear_at = now + self.LIFETIME  # costs no line, as nobody is bound there any more
                 del self.changes[k]
 
     # The difference, and the only place that orders.
