--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -296,7 +296,7 @@
     LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
-    TURN = 1.0  # seconds of drain that may wait when a change is begun, twice that while it binds
+    TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
     BEAT = 0.25  # seconds between looks while something is under way
     ASK_WAIT = 0.5  # seconds before asking for the list again, doubled by each failure
