Cold workers stay out in a storm and before a calm fleet was seen

It guards every storm, whatever its cause; it may leave cold workers idle for up to their warming time where calm never comes.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -295,6 +295,7 @@
     SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
     LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
+    STORM = 0.3  # median voided part from which cold workers stay out: many tries for each txn
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
@@ -388,18 +389,21 @@
         weight, health = self.fleet.listed_weight(), self.health
         health.judge(now, weight)
         parts, most = {}, {}
+        heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
+        voided = median(map(health.part, heard)) if heard else 0.0
+        storm = voided >= self.STORM or not health.calm
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
             age, cap = now - self.fleet.since[i], health.cap[i]
             part = min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
-            most[i] = min(part if part < 1.0 else inf, cap if cap < Health.JAMMED_SHARE else inf)
+            # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
+            most[i] = min(inf if part == 1.0 else 0.0 if storm else part, cap if cap < Health.JAMMED_SHARE else inf)
         self._advance(now)
         shares = [self.all_in] * self.products
-        heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         if self.gate and heard:
-            self.gate.step(now, median(map(health.part, heard)), median(map(health.pace, heard)))
+            self.gate.step(now, voided, median(map(health.pace, heard)))
             shares = self.gate.levels()
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
