--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -195,10 +195,10 @@
     VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
     SLOW = 0.45  # median settling time, in SLA times, taken for overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
-    LESS = 0.55  # times what is let in for each beat in overload
+    LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
     KNEE = 0.5  # of that share
-    LEAST, FORGET = 0.5, 0.98  # of the best settled rate is always let in; and is kept each beat
+    LEAST = 0.15  # of all work is always let in: a jam hides the capacity
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -207,7 +207,6 @@
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
-        self.settled = self.rate = self.best = 0.0  # since the last beat; a second; best of late
         self.share = self.knee = 1.0  # of the offered work, let in now and when overload last began
         self.last, self.calm = inf, True
 
@@ -219,13 +218,11 @@
         span, self.last = now - self.last, now
         came = zip(self.asked, self.came.values(), strict=True)
         self.asked = [asked + (max(n, 0.1) / span - asked) / 2 for asked, n in came]
-        self.rate += (self.settled / span - self.rate) / 2
-        self.best = max(self.rate, self.FORGET * self.best)
-        self.came, self.settled = dict.fromkeys(self.came, 0), 0
+        self.came = dict.fromkeys(self.came, 0)
         stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
             self.knee = self.share if self.calm else self.knee
-            self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
+            self.share = max(self.LESS * self.share, self.LEAST)
         elif stress < self.CALM:
             more = self.BACK if self.share < self.KNEE * self.knee else self.MORE
             self.share = min(self.share * more, 1.0)
@@ -360,8 +357,6 @@
                     self._answered(proxy, self.account.answered(proxy, mark, took))
             case face.Met(worker=worker) if worker in self.fleet.index:
                 i = self.fleet.index[worker]
-                if self.gate:
-                    self.gate.settled += event.tries - event.voided
                 if self.health.cap[i]:
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case face.Probed(worker=worker) if worker in self.fleet.index:
@@ -399,7 +394,8 @@
             part = min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
-            most[i] = min(inf if part == 1.0 else 0.0 if storm else part, cap if cap < Health.JAMMED_SHARE else inf)
+            most[i] = cap if cap < Health.JAMMED_SHARE else inf
+            most[i] = min(most[i], inf if part == 1.0 else 0.0 if storm else part)
         self._advance(now)
         shares = [self.all_in] * self.products
         if self.gate and heard:
