--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -197,8 +197,7 @@
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
-    KNEE = 0.5  # of that share
-    LEAST = 0.15  # of all work is always let in: a jam hides the capacity
+    KNEE, LEAST = 0.5, 0.15  # what counts as near it; and the least share, as a jam hides the capacity
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -137,3 +137,14 @@
         model.step(0.1, [])
     assert {name for _, held in model.holds[1].values() for name in held} == {worker(1).id}
     assert not model.broken
+
+
+def test_cold_workers_stay_out_in_a_storm_and_before_a_calm_fleet_was_seen() -> None:
+    model = Model(trade())
+    model.step(0.1, [face.Listed("kept", (*FLEET, worker(9, "ready", -2.0)))])
+    model.step(0.1, [face.Joined(p, ZONES[p % 3], 5.0, True) for p in range(6)])
+    assert out(model) == {worker(9).id}  # nothing is known yet
+    fleet(model, {n: (20, 0, 0.2) for n in range(9)}, 3.0)
+    assert not out(model)
+    fleet(model, {n: (20, 12, 1.5) for n in range(9)}, 3.0)
+    assert out(model) == {worker(9).id}  # a storm of repeats
