--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -291,7 +291,7 @@
     SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
     LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
-    STORM = 0.3  # median voided part from which cold workers stay out: many tries for each txn
+    STORM, DEEP = 0.2, 0.5  # median voided part from which, and share let in below which, cold workers stay out
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
@@ -385,7 +385,7 @@
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
-        storm = voided >= self.STORM or not health.calm
+        storm = voided >= self.STORM or not health.calm or self.gate is not None and self.gate.share < self.DEEP
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
