--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -291,7 +291,7 @@
     SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
     LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
     RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
-    STORM, DEEP = 0.2, 0.5  # median voided part from which, and share let in below which, cold workers stay out
+    STORM = 0.2  # median voided part from which cold workers stay out: many tries for each txn
     STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
@@ -303,6 +303,8 @@
         self.uniform = Random(trade.seed).uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
+        # Below this share let in, repeats may bring a cold worker's first share past what pushes it over.
+        self.deep = self.STEP / (trade.duties.cold_share * trade.duties.fall_multiple)
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
         self.fleet, self.account = Fleet(), Account(trade.channel)
         self.health = Health(self.uniform)
@@ -385,7 +387,7 @@
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
-        storm = voided >= self.STORM or not health.calm or self.gate is not None and self.gate.share < self.DEEP
+        storm = voided >= self.STORM or not health.calm or bool(self.gate) and self.gate.share < self.deep
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
@@ -404,7 +406,8 @@
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
-        out = {i for table in self._in_use() for i, part in table.parts.items() if part > most.get(i, 0.0)}
+        tables = [*self._in_use(), *self.current.values()]
+        out = {i for table in tables for i, part in table.parts.items() if part > most.get(i, 0.0)}
         cold = {i for i in weight if most[i] < inf and health.cap[i]}
         out -= set() if weight.keys() - cold - out else cold  # Danger: nobody left, where none is warm
         levels = [(share, retry) for share in shares]
