--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -192,8 +192,7 @@
     """How much of each product is let in: under overload the least revenue per work is refused first."""
 
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
-    VOIDED = 0.08  # median voided part of the tries taken for overload: above what a few bad workers cause
-    SLOW = 0.45  # median settling time, in SLA times, taken for overload
+    VOIDED, SLOW = 0.08, 0.45  # median voided part, and settling time in SLA times, from which on is overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
@@ -288,11 +287,9 @@
     """One manager's decisions."""
 
     WINDOW = 4  # versions: the paper's four status bits
-    SILENT = 3.0  # seconds for an answer beyond the channel's own delay: the design's start value
-    LIFETIME = 2.0  # seconds from the last answer to clearing: the design's start value
-    RAISE = 5.0  # seconds between a fresh worker's steps: the design's start value
-    STORM = 0.2  # median voided part from which cold workers stay out: many tries for each txn
-    STEP = 0.25  # a fresh worker's first share and each raise: the design's quarter
+    SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: as the design has
+    STORM = 0.1  # median voided part, for each time of its share that a cold worker bears, that is a storm
+    STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
     BEAT = 0.25  # seconds between looks while something is under way
@@ -303,8 +300,7 @@
         self.uniform = Random(trade.seed).uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
-        # Below this share let in, repeats may bring a cold worker's first share past what pushes it over.
-        self.deep = self.STEP / (trade.duties.cold_share * trade.duties.fall_multiple)
+        self.bears = trade.duties.cold_share * trade.duties.fall_multiple / self.STEP  # times its first share
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
         self.fleet, self.account = Fleet(), Account(trade.channel)
         self.health = Health(self.uniform)
@@ -387,7 +383,8 @@
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
-        storm = voided >= self.STORM or not health.calm or bool(self.gate) and self.gate.share < self.deep
+        let = self.gate.share if self.gate else 1.0
+        storm = not health.calm or voided >= self.STORM * self.bears or let * self.bears < 1.0
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
