--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -287,7 +287,7 @@
     """One manager's decisions."""
 
     WINDOW = 4  # versions: the paper's four status bits
-    SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: as the design has
+    SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: the design's
     STORM = 0.1  # median voided part, for each time of its share that a cold worker bears, that is a storm
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
