--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -110,6 +110,7 @@
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
     BUSY = 0.08  # median voided part from which no jammed worker's share is moved: the others have no room
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
+    ROOM = 0.12  # of the ready weight may be lost when a share is lowered: what the others can take over
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
@@ -177,7 +178,7 @@
                 cap = self.full[i] = self.WEAK_SHARE
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0 if cap == self.full[i] else self.full[i]
-            most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
+            most = self.ROOM if cap else self.CUT_OFF if part >= self.SILENT else self.CEILING
             less = weight[i] * (self.cap[i] - cap)
             if not less or less > 0 and lost + less > most * whole:
                 continue
