--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -110,7 +110,6 @@
     WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
     BUSY = 0.08  # median voided part from which no jammed worker's share is moved: the others have no room
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
-    ROOM = 0.12  # of the ready weight may be lost when a share is lowered: what the others can take over
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
     TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
@@ -178,7 +177,7 @@
                 cap = self.full[i] = self.WEAK_SHARE
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0 if cap == self.full[i] else self.full[i]
-            most = self.ROOM if cap else self.CUT_OFF if part >= self.SILENT else self.CEILING
+            most = self.CUT_OFF if part >= self.SILENT and not cap else self.CEILING
             less = weight[i] * (self.cap[i] - cap)
             if not less or less > 0 and lost + less > most * whole:
                 continue
@@ -197,7 +196,8 @@
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
-    KNEE, LEAST = 0.5, 0.15  # what counts as near it; and the least share, as a jam hides the capacity
+    KNEE = 0.5  # what counts as near it
+    LEAST, FORGET = 0.5, 0.98  # of the best settled rate is let in at least, and is kept each beat
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -207,6 +207,7 @@
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
         self.share = self.knee = 1.0  # of the offered work, let in now and when overload last began
+        self.settled = self.rate = self.best = 0.0  # tries since the last beat; a second; the best of late
         self.last, self.calm = inf, True
 
     def step(self, now: float, voided: float, pace: float) -> None:
@@ -217,11 +218,13 @@
         span, self.last = now - self.last, now
         came = zip(self.asked, self.came.values(), strict=True)
         self.asked = [asked + (max(n, 0.1) / span - asked) / 2 for asked, n in came]
-        self.came = dict.fromkeys(self.came, 0)
+        self.rate += (self.settled / span - self.rate) / 2
+        self.best = max(self.rate, self.FORGET * self.best)
+        self.came, self.settled = dict.fromkeys(self.came, 0), 0
         stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
         if stress > 1.0:
             self.knee = self.share if self.calm else self.knee
-            self.share = max(self.LESS * self.share, self.LEAST)
+            self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
         elif stress < self.CALM:
             more = self.BACK if self.share < self.KNEE * self.knee else self.MORE
             self.share = min(self.share * more, 1.0)
@@ -355,6 +358,8 @@
                     self._answered(proxy, self.account.answered(proxy, mark, took))
             case face.Met(worker=worker) if worker in self.fleet.index:
                 i = self.fleet.index[worker]
+                if self.gate:
+                    self.gate.settled += event.tries - event.voided
                 if self.health.cap[i]:
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case face.Probed(worker=worker) if worker in self.fleet.index:
