--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -197,7 +197,7 @@
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
     KNEE = 0.5  # what counts as near it
-    LEAST, FORGET = 0.5, 0.98  # of the best settled rate is let in at least, and is kept each beat
+    LEAST, FORGET = 0.4, 0.98  # of the best settled rate is let in at least, and is kept each beat
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
