--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -196,8 +196,7 @@
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
-    KNEE = 0.5  # what counts as near it
-    LEAST, FORGET = 0.4, 0.98  # of the best settled rate is let in at least, and is kept each beat
+    KNEE, LEAST, FORGET = 0.5, 0.5, 0.98  # what is near it; of the best settled rate, let in at least and kept
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -206,9 +205,9 @@
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
-        self.share = self.knee = 1.0  # of the offered work, let in now and when overload last began
+        # The share let in now and when overload last began, the time of the last beat, and whether it was calm.
         self.settled = self.rate = self.best = 0.0  # tries since the last beat; a second; the best of late
-        self.last, self.calm = inf, True
+        self.share, self.knee, self.last, self.calm = 1.0, 1.0, inf, True
 
     def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
@@ -308,8 +307,8 @@
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
         self.fleet, self.account = Fleet(), Account(trade.channel)
         self.health = Health(self.uniform)
-        self.gate = Gate(trade.products) if trade.admits == "share" else None
-        self.all_in = 1.0 if self.gate else 1e6  # where levels are rates, a share of 1 would shut a proxy
+        self.gate, self.admits = Gate(trade.products), trade.admits == "share"
+        self.all_in = 1.0 if self.admits else 1e6  # where levels are rates, a share of 1 would shut a proxy
         self.proxies: dict[int, Proxy] = {}
         self.current: dict[int, Table] = {}
         self.changes: dict[int, Change] = {}
@@ -358,8 +357,7 @@
                     self._answered(proxy, self.account.answered(proxy, mark, took))
             case face.Met(worker=worker) if worker in self.fleet.index:
                 i = self.fleet.index[worker]
-                if self.gate:
-                    self.gate.settled += event.tries - event.voided
+                self.gate.settled += event.tries - event.voided
                 if self.health.cap[i]:
                     self.health.met(i, now, event.tries, event.voided, event.took)
             case face.Probed(worker=worker) if worker in self.fleet.index:
@@ -368,7 +366,7 @@
                 if not self.health.cap[i]:
                     share, pause = (Health.TRIAL_SHARE, Health.TRIAL) if event.ok else (0.0, Health.AGAIN)
                     self.health.start(i, share, now + pause)
-            case face.Asked(product=name) if self.gate and name in self.gate.came:
+            case face.Asked(product=name) if name in self.gate.came:
                 self.gate.came[name] += event.txns
 
     def _answered(self, proxy: int, passed: set[int]) -> None:
@@ -389,8 +387,7 @@
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
-        let = self.gate.share if self.gate else 1.0
-        storm = not health.calm or voided >= self.STORM * self.bears or let * self.bears < 1.0
+        storm = not health.calm or voided >= self.STORM * self.bears or self.gate.share * self.bears < 1.0
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
@@ -402,7 +399,7 @@
             most[i] = min(most[i], inf if part == 1.0 else 0.0 if storm else part)
         self._advance(now)
         shares = [self.all_in] * self.products
-        if self.gate and heard:
+        if self.admits and heard:
             self.gate.step(now, voided, median(map(health.pace, heard)))
             shares = self.gate.levels()
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
@@ -437,7 +434,7 @@
         orders: list[face.Order] = []
         lines: dict[int, float] = {}
         account, everyone, kept = self.account, False, self.KEPT_MESSAGES
-        mark = self._free(self.last_mark, self.account.sent)
+        mark = self.last_mark = self._free(self.last_mark, self.account.sent)
 
         def spend(cost: dict[int, float], ordinary: bool, budget: float = inf) -> bool:
             """Take these lines for these proxies into the reply if the channel and the limits allow it."""
@@ -472,7 +469,7 @@
                 table.level = wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
         # New tables, the largest change of weight first, laid where nobody is bound: no line but the asking.
-        size = [self._distance(self.current.get(k), wanted) for k in range(self.products)]
+        size = [self._distance(k, wanted) for k in range(self.products)]
         largest = sorted(range(self.products), key=lambda k: -size[k])
         for k in largest:
             if k not in self.current:
@@ -504,7 +501,6 @@
             self.retired.remove(table)
             self.numbers.discard(table.number)
         if lines:
-            self.last_mark = mark
             orders.append(face.Mark(mark, everyone))
             account.book(mark, now, lines)
         for i in wanted.shares.keys() - self.probing:
@@ -529,10 +525,9 @@
             orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
         return table
 
-    @staticmethod
-    def _distance(table: Table | None, wanted: Wanted) -> float:
+    def _distance(self, k: int, wanted: Wanted) -> float:
         """How much weight a change would move, as a part of the whole."""
-        have, want = table.shares if table else {}, wanted.shares
+        have, want = self.current[k].shares if k in self.current else {}, wanted.shares
         all_have, all_want = sum(have.values()) or 1.0, sum(want.values()) or 1.0
         moved = (abs(have.get(i, 0) / all_have - want.get(i, 0) / all_want) for i in sorted({**have, **want}))
         return sum(moved) if have != want else 0.0
