--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -196,7 +196,7 @@
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
-    KNEE, LEAST, FORGET = 0.5, 0.5, 0.98  # what is near it; of the best settled rate, let in at least and kept
+    KNEE, LEAST, FORGET = 0.5, 0.5, 0.98  # what is near it; of the best settled rate, the least and kept
     FLOOR = 0.05  # least share let in of a product: what comes through shows how it fares
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
@@ -205,9 +205,8 @@
         self.order = sorted(range(len(products)), key=lambda k: products[k].revenue / products[k].sla)
         self.asked = [1.0] * len(products)  # txns a second of each product, smoothed
         self.came = dict.fromkeys((product.name for product in products), 0)  # txns since the last beat
-        # The share let in now and when overload last began, the time of the last beat, and whether it was calm.
         self.settled = self.rate = self.best = 0.0  # tries since the last beat; a second; the best of late
-        self.share, self.knee, self.last, self.calm = 1.0, 1.0, inf, True
+        self.share, self.knee, self.last, self.calm = 1.0, 1.0, inf, True  # the last two: of the last beat
 
     def step(self, now: float, voided: float, pace: float) -> None:
         """Go by the median worker's voided part and pace, which a few bad workers don't move."""
