--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -119,8 +119,8 @@
     WEAK_SHARE, WEAK = 0.75, 60.0  # share, and seconds of it, after or ahead of a jam: listed too high
     REST, REST_MOST, AGAIN = 4.0, 16.0, 1.0  # seconds out before a trial, doubled by failures; between probes
 
-    def __init__(self, uniform: Callable[[float, float], float]) -> None:
-        self.uniform = uniform
+    def __init__(self, uniform: Callable[[float, float], float], proof: float) -> None:
+        self.uniform, self.proof, self.proven = uniform, proof, inf  # seconds of calm that prove it, and when
         self.calm = 0.0  # the median worker's pace when few void
         self.tries, self.voided, self.took = list[float](), list[float](), list[float]()  # fading sums
         self.heard_at, self.rest = list[float](), list[float]()
@@ -161,10 +161,12 @@
             return
         parts, pace = sorted(map(self.part, peers)), median(map(self.pace, peers))
         best, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
-        if not busy:
-            self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
-        elif not self.calm:
-            return  # Danger: a manager that began in a jam would take the jammed for silent
+        if not self.calm:
+            # Danger: a manager that began in a jam would take the jammed for silent, and quick first answers for calm.
+            self.proven = now + self.proof if busy else min(self.proven, now + self.proof)
+            self.calm = pace if now >= self.proven else 0.0
+            return
+        self.calm += 0.0 if busy else self.LEARN * (pace - self.calm)
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
@@ -290,6 +292,7 @@
 
     WINDOW = 4  # versions: the paper's four status bits
     SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: the design's
+    LATENESS = 2.0  # seconds within which a voided try is mostly reported after its expiry
     STORM = 0.1  # median voided part, for each time of its share that a cold worker bears, that is a storm
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
@@ -305,7 +308,7 @@
         self.bears = trade.duties.cold_share * trade.duties.fall_multiple / self.STEP  # times its first share
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
         self.fleet, self.account = Fleet(), Account(trade.channel)
-        self.health = Health(self.uniform)
+        self.health = Health(self.uniform, max(product.expiry for product in trade.products) + self.LATENESS)
         self.gate, self.admits = Gate(trade.products), trade.admits == "share"
         self.all_in = 1.0 if self.admits else 1e6  # where levels are rates, a share of 1 would shut a proxy
         self.proxies: dict[int, Proxy] = {}
