--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -161,12 +161,12 @@
             return
         parts, pace = sorted(map(self.part, peers)), median(map(self.pace, peers))
         best, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
-        if not self.calm:
-            # Danger: a manager that began in a jam would take the jammed for silent, and quick first answers for calm.
+        if now < self.proven:  # Danger: voids are reported late, so quick first answers are no proof of calm
             self.proven = now + self.proof if busy else min(self.proven, now + self.proof)
-            self.calm = pace if now >= self.proven else 0.0
-            return
-        self.calm += 0.0 if busy else self.LEARN * (pace - self.calm)
+        if not busy:
+            self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
+        elif not self.calm:
+            return  # Danger: a manager that began in a jam would take the jammed for silent
         for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
@@ -389,7 +389,7 @@
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
-        storm = not health.calm or voided >= self.STORM * self.bears or self.gate.share * self.bears < 1.0
+        storm = now < health.proven or voided >= self.STORM * self.bears or self.gate.share * self.bears < 1.0
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
@@ -405,7 +405,7 @@
             self.gate.step(now, voided, median(map(health.pace, heard)))
             shares = self.gate.levels()
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
-        retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
+        retry = min(self.usual_retry, 1) if now >= health.proven and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         tables = [*self._in_use(), *self.current.values()]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -145,6 +145,8 @@
     model.step(0.1, [face.Joined(p, ZONES[p % 3], 5.0, True) for p in range(6)])
     assert out(model) == {worker(9).id}  # nothing is known yet
     fleet(model, {n: (20, 0, 0.2) for n in range(9)}, 3.0)
+    assert out(model) == {worker(9).id}  # quick first answers are no proof: voids are reported late
+    fleet(model, {n: (20, 0, 0.2) for n in range(9)}, 3.0)
     assert not out(model)
     fleet(model, {n: (20, 12, 1.5) for n in range(9)}, 3.0)
     assert out(model) == {worker(9).id}  # a storm of repeats
