--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -405,7 +405,7 @@
             self.gate.step(now, voided, median(map(health.pace, heard)))
             shares = self.gate.levels()
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
-        retry = min(self.usual_retry, 1) if now >= health.proven and min(shares) >= 1.0 else 0
+        retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
         tables = [*self._in_use(), *self.current.values()]
