--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -138,7 +138,7 @@
 
     def start(self, i: int, cap: float, due: float) -> None:
         self.tries[i] = self.voided[i] = self.took[i] = 0.0
-        self.cap[i], self.due[i] = cap, due
+        self.cap[i], self.due[i], self.full[i] = cap, due, max(self.full[i], cap)
 
     def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
         fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
@@ -292,13 +292,11 @@
 
     WINDOW = 4  # versions: the paper's four status bits
     SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: the design's
-    LATENESS = 2.0  # seconds within which a voided try is mostly reported after its expiry
-    STORM = 0.1  # median voided part, for each time of its share that a cold worker bears, that is a storm
+    LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold one bears
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
-    BEAT = 0.25  # seconds between looks while something is under way
-    ASK_WAIT = 0.5  # seconds before asking for the list again, doubled by each failure
+    BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
     def __init__(self, trade: face.Trade) -> None:
@@ -338,9 +336,8 @@
                 self.ask_wait = min(2 * self.ask_wait, max(self.ask_every / 4, self.ASK_WAIT))
             case face.Listed():
                 self.ask_wait = self.ASK_WAIT
-                fresh = self.fleet.fold(event)
-                self.health.grow(len(self.fleet.ids))
-                for i in fresh:
+                for i in self.fleet.fold(event):
+                    self.health.grow(len(self.fleet.ids))
                     self.health.start(i, 1.0, now)
             case face.Joined(proxy) | face.Left(proxy):
                 self.account.settle(proxy, list(self.account.sent))
