--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -292,7 +292,7 @@
 
     WINDOW = 4  # versions: the paper's four status bits
     SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: the design's
-    LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold one bears
+    LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
@@ -395,7 +395,7 @@
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
             most[i] = cap if cap < Health.JAMMED_SHARE else inf
-            most[i] = min(most[i], inf if part == 1.0 else 0.0 if storm else part)
+            most[i] = min(most[i], inf if age >= self.warm_after else 0.0 if storm else part)
         self._advance(now)
         shares = [self.all_in] * self.products
         if self.admits and heard:
