--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -295,7 +295,9 @@
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
-    KEPT_BACK, KEPT_MESSAGES = 0.4, 10  # of the lines that may wait and the messages, for all that is urgent
+    # Kept of the lines that may wait, and of the messages, by withdrawals and joins, letting in, levels, changes:
+    KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)
+    ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
@@ -408,7 +410,11 @@
         tables = [*self._in_use(), *self.current.values()]
         out = {i for table in tables for i, part in table.parts.items() if part > most.get(i, 0.0)}
         cold = {i for i in weight if most[i] < inf and health.cap[i]}
-        out -= set() if weight.keys() - cold - out else cold  # Danger: nobody left, where none is warm
+        for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
+            ready = table.parts.keys() & weight.keys()
+            if ready and ready <= out:
+                out -= ready & cold or ready
+                shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
         levels = [(share, retry) for share in shares]
         return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
 
@@ -432,15 +438,15 @@
     def _emit(self, now: float, wanted: Wanted) -> list[face.Order]:
         orders: list[face.Order] = []
         lines: dict[int, float] = {}
-        account, everyone, kept = self.account, False, self.KEPT_MESSAGES
+        account, everyone = self.account, False
         mark = self.last_mark = self._free(self.last_mark, self.account.sent)
 
-        def spend(cost: dict[int, float], ordinary: bool, budget: float = inf) -> bool:
+        def spend(cost: dict[int, float], rank: int, budget: float = inf) -> bool:
             """Take these lines for these proxies into the reply if the channel and the limits allow it."""
             head, waiting = account.channel.message_lines + 1.0, account.waiting() + sum(lines.values())
             more = sum(n if p in lines else n + head for p, n in cost.items())
-            most = account.channel.waiting_most * (1.0 - self.KEPT_BACK * ordinary)
-            scarce = (p for p in cost.keys() - lines if account.messages_left(p, now) <= kept * ordinary)
+            most = account.channel.waiting_most * (1.0 - self.KEPT_BACK[rank])
+            scarce = (p for p in cost.keys() - lines if account.messages_left(p, now) <= self.KEPT[rank])
             if waiting > budget * account.rate or waiting + more > most or any(True for _ in scarce):
                 return False
             lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
@@ -456,7 +462,7 @@
         for i in sorted(wanted.out ^ self.out):
             cost = {p: 1.0 for p, proxy in self.proxies.items()
                     if any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
-            if spend(cost, ordinary=i not in wanted.out):
+            if spend(cost, i not in wanted.out):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
         users: dict[tuple[int, Table], dict[int, float]] = {}
@@ -464,7 +470,7 @@
             for k, held in proxy.holds.items():
                 users.setdefault((k, held[-1][0]), {})[p] = 1.0
         for (k, table), cost in users.items():
-            if table.level != wanted.levels[k] and spend(cost, ordinary=False):
+            if table.level != wanted.levels[k] and spend(cost, 2):
                 table.level = wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
         # New tables, the largest change of weight first, laid where nobody is bound: no line but the asking.
@@ -473,7 +479,7 @@
         for k in largest:
             if k not in self.current:
                 self.current[k] = self._lay(orders, k, wanted)
-            elif size[k] and k not in self.changes and spend(dict.fromkeys(self.proxies, 0), True, self.TURN):
+            elif size[k] and k not in self.changes and spend(dict.fromkeys(self.proxies, 0), 3, self.TURN):
                 self.versions, everyone = self.versions + 1, True
                 laid = self._lay(orders, k, wanted)
                 self.changes[k] = Change(self.versions, laid, self.current[k], mark, now, set(self.proxies))
@@ -491,7 +497,7 @@
                     if joiners == bool(held) or held and held[-1][0] is table:
                         continue
                     cost = {p: 2.0 + len(table.shares) + len(self.out & table.shares.keys())}
-                    if spend(cost, not joiners, inf if joiners else 2 * self.TURN):
+                    if spend(cost, 0 if joiners else 3, inf if joiners else 2 * self.TURN):
                         orders.append(face.Bind(p, k, table.number))
                         proxy.holds[k] = [*held, (table, mark)]
                         proxy.bound_at = now
