--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -295,7 +295,7 @@
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
-    # Kept of the lines that may wait, and of the messages, by withdrawals and joins, letting in, levels, changes:
+    # Kept of the lines that may wait, and of messages, by withdrawals and joins, letting in, levels, changes:
     KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
@@ -407,7 +407,7 @@
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
         # joined proxy may hold gives it more than it may have now.
-        tables = [*self._in_use(), *self.current.values()]
+        tables = [*self._in_use(), *self.current.values(), *(change.table for change in self.changes.values())]
         out = {i for table in tables for i, part in table.parts.items() if part > most.get(i, 0.0)}
         cold = {i for i in weight if most[i] < inf and health.cap[i]}
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
