--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -105,15 +105,12 @@
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
     FAILING = 0.35  # voided part of the tries from which a worker is failing ...
     CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none
-    PACE = 1.6  # times the usual pace up to which a failing worker is broken; one beyond may just be overfull
-    SILENT = 0.9  # voided part from which a worker counts as silent for the ceiling
-    WELL = 0.15  # voided part up to which a worker is raised again (hysteresis)
-    BUSY = 0.08  # median voided part from which no jammed worker's share is moved: the others have no room
+    PACE, SILENT = 1.6, 0.9  # times the usual pace beyond which a worker may be overfull; a silent one's part
+    WELL, BUSY = 0.15, 0.08  # voided part up to which one is raised; the median's from which shares stay put
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
     CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
-    TRIAL = 3.0  # seconds at the trial's share before the full one: a few report cycles and their lateness
-    TRIAL_SHARE = 0.25  # of its listed weight, which a cold or a four times slower worker can bear
+    TRIAL, TRIAL_SHARE = 3.0, 0.25  # seconds on trial, a few report cycles, at a share that a cold one bears
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
     LATE, PLENTY = 2.5, 8.0  # times the median pace, over so many settled tries: a jam is near
     WEAK_SHARE, WEAK = 0.75, 60.0  # share, and seconds of it, after or ahead of a jam: listed too high
@@ -295,8 +292,7 @@
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
-    # Kept of the lines that may wait, and of messages, by withdrawals and joins, letting in, levels, changes:
-    KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)
+    KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: urgent, in, levels, change
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
@@ -405,15 +401,13 @@
             shares = self.gate.levels()
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
-        # Danger: a cold worker pushed over, a drained one sent to. A worker stays out while any table that a
-        # joined proxy may hold gives it more than it may have now.
-        tables = [*self._in_use(), *self.current.values(), *(change.table for change in self.changes.values())]
+        # Danger: a cold worker pushed over, a drained one sent to. Out while any table gives it too much.
+        tables = [*self._in_use(), *self.current.values(), *(c.table for c in self.changes.values())]
         out = {i for table in tables for i, part in table.parts.items() if part > most.get(i, 0.0)}
-        cold = {i for i in weight if most[i] < inf and health.cap[i]}
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
             ready = table.parts.keys() & weight.keys()
             if ready and ready <= out:
-                out -= ready & cold or ready
+                out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
                 shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
         levels = [(share, retry) for share in shares]
         return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
