--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -150,3 +150,24 @@
     assert not out(model)
     fleet(model, {n: (20, 12, 1.5) for n in range(9)}, 3.0)
     assert out(model) == {worker(9).id}  # a storm of repeats
+
+
+def test_a_cold_worker_in_a_laid_table_is_out_before_the_table_is_bound() -> None:
+    model = started(1.0)  # no calm fleet was proven yet, so that a storm must be reckoned with
+    model.step(0.1, [face.Listed("changes", (worker(10, "ready", model.now - 1.0),))])
+    for _ in range(40):
+        model.step(0.1, [])
+        if any(worker(10).id in table for table in model.tables.values()):
+            assert out(model) == {worker(10).id}
+
+
+def test_letting_in_again_is_not_held_back_by_the_messages_that_changes_leave() -> None:
+    model = started()
+    for _ in range(22):  # withdrawals and news take messages, as many as changes may not take
+        model.step(0.05, [face.Listed("changes", (worker(4, "draining"),))])
+        model.step(0.05, [face.Listed("changes", (worker(4),))])
+    everyone = tuple(worker(n, "draining") for n in range(9))
+    model.step(0.1, [face.Listed("changes", everyone)])
+    for _ in range(3):
+        model.step(0.1, [face.Listed("changes", FLEET)])
+    assert not out(model) and not model.broken
