--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -154,20 +154,22 @@
 
 def test_a_cold_worker_in_a_laid_table_is_out_before_the_table_is_bound() -> None:
     model = started(1.0)  # no calm fleet was proven yet, so that a storm must be reckoned with
-    model.step(0.1, [face.Listed("changes", (worker(10, "ready", model.now - 1.0),))])
-    for _ in range(40):
+    cold = worker(10, "ready", model.now - 1.0)
+    model.step(0.1, [face.Listed("changes", (cold,))])
+    reached = set()
+    for _ in range(25):
         model.step(0.1, [])
-        if any(worker(10).id in table for table in model.tables.values()):
-            assert out(model) == {worker(10).id}
+        for p, holds in model.holds.items():
+            reached |= {p for _, held in holds.values() if cold.id in held}
+        assert all(cold.id in model.shut[p] for p in reached)
+    assert reached == set(range(6))
 
 
 def test_letting_in_again_is_not_held_back_by_the_messages_that_changes_leave() -> None:
     model = started()
-    for _ in range(22):  # withdrawals and news take messages, as many as changes may not take
-        model.step(0.05, [face.Listed("changes", (worker(4, "draining"),))])
-        model.step(0.05, [face.Listed("changes", (worker(4),))])
-    everyone = tuple(worker(n, "draining") for n in range(9))
-    model.step(0.1, [face.Listed("changes", everyone)])
-    for _ in range(3):
-        model.step(0.1, [face.Listed("changes", FLEET)])
+    for times in model.module.account.written.values():
+        times.extend([model.now] * (25 - len(times)))
+    model.step(0.1, [face.Listed("changes", tuple(worker(n, "draining") for n in range(9)))])
+    assert len(out(model)) == 9
+    model.step(0.1, [face.Listed("changes", FLEET)])
     assert not out(model) and not model.broken
