--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -44,6 +44,7 @@
         self.holds: dict[int, dict[int, tuple[int, dict[str, float]]]] = {}  # the same, as applied
         self.shut: dict[int, set[str]] = {}
         self.joined: dict[int, float] = {}
+        self.mute: set[int] = set()  # joined proxies that nothing reaches any more
         self.bare: dict[tuple[int, int], float] = {}
         self.queue: list[tuple[int, float, list]] = []  # proxy, lines, what the message does
         self.flying: list[tuple[float, int, list]] = []
@@ -75,7 +76,7 @@
 
     def _apply(self, proxy: int, acts: list) -> list[face.Event]:
         answers: list[face.Event] = []
-        for act in acts if proxy in self.joined else ():
+        for act in acts if proxy in self.joined and proxy not in self.mute else ():
             match act:
                 case ("bind", product, number, lines, out):
                     self.holds[proxy][product] = (number, lines)
@@ -95,6 +96,7 @@
                 self.written[proxy] = []
             case face.Left(proxy):
                 self.joined.pop(proxy, None)
+                self.mute.discard(proxy)
                 self.bound.pop(proxy, None)
                 self.queue = [message for message in self.queue if message[0] != proxy]
                 self.flying = [flight for flight in self.flying if flight[1] != proxy]
@@ -117,7 +119,8 @@
                 case face.Share(number, name, weight):
                     self.tables[number][name] = weight
                 case face.Clear(number):
-                    if any(number in bound.values() for bound in self.bound.values()):
+                    held = {table for p in self.joined for table, _ in self.holds[p].values()}
+                    if number in held or any(number in bound.values() for bound in self.bound.values()):
                         self.broken.add("a table cleared under a proxy")
                     del self.tables[number]
                 case face.Bind(proxy, product, number):
@@ -156,7 +159,7 @@
         if any(len(times) > self.trade.channel.messages_most for times in self.written.values()):
             self.broken.add("messages")
         for proxy, joined in self.joined.items():
-            for product, (_, held) in self.holds[proxy].items():
+            for product, (_, held) in self.holds[proxy].items() if proxy not in self.mute else ():
                 usable = {name: w for name, w in held.items() if name not in self.shut[proxy]}
                 since = self.bare.setdefault((proxy, product), self.now)
                 if usable or not warm:
@@ -205,6 +208,8 @@
             start = [face.Listed("kept", tuple(w for w in fleet.values() if w.state != "gone"))]
             events = []
             continue
+        if random.random() < 0.03 and model.joined:
+            model.mute.add(random.choice(sorted(model.joined)))
         if random.random() < 0.02:
             model.pace = random.choice([1.0, 0.5, 0.25])
         events.append(face.Asked(random.randrange(8), "book", 9, 0, 0.5))
