Tidy: hoist repeated look-ups, one plain loop in the host, no set order behind probes

A joiner's zone is looked up once instead of once a worker; the known verbs are built once instead of for each event; probes are ordered by the list, not by a set; a closure used once is gone.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -344,9 +344,9 @@
                 for change in self.changes.values():
                     change.awaited.discard(proxy)
                 if isinstance(event, face.Joined):
+                    back = all(other.zone != event.zone for other in self.proxies.values())
                     for i, zone in enumerate(self.fleet.zones):
-                        known = zone in [other.zone for other in self.proxies.values()]
-                        if zone == event.zone and not known and not self.health.cap[i]:
+                        if back and zone == event.zone and not self.health.cap[i]:
                             self.health.start(i, 1.0, now)  # first proxy back: the zone is in reach again
                     self.proxies[proxy] = Proxy(event.zone)
             case face.Answered(proxy, mark, took) if mark in self.account.sent:
@@ -440,8 +440,8 @@
             head, waiting = account.channel.message_lines + 1.0, account.waiting() + sum(lines.values())
             more = sum(n if p in lines else n + head for p, n in cost.items())
             most = account.channel.waiting_most * (1.0 - self.KEPT_BACK[rank])
-            scarce = (p for p in cost.keys() - lines if account.messages_left(p, now) <= self.KEPT[rank])
-            if waiting > budget * account.rate or waiting + more > most or any(True for _ in scarce):
+            scarce = any(account.messages_left(p, now) <= self.KEPT[rank] for p in cost if p not in lines)
+            if waiting > budget * account.rate or waiting + more > most or scarce:
                 return False
             lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
             return True
@@ -502,8 +502,8 @@
         if lines:
             orders.append(face.Mark(mark, everyone))
             account.book(mark, now, lines)
-        for i in wanted.shares.keys() - self.probing:
-            if self.may_probe and not self.health.cap[i] and self.health.due[i] <= now:
+        for i in wanted.shares:
+            if self.may_probe and i not in self.probing and not health.cap[i] and health.due[i] <= now:
                 self.probing.add(i)
                 orders.append(face.Probe(self.fleet.ids[i]))
         if self.ask_at <= now:
--- a/dunlinlug/drill/codec.py
+++ b/dunlinlug/drill/codec.py
@@ -48,7 +48,7 @@
         verb, manager = body.get("verb"), body.get("manager")
         if not isinstance(verb, str):
             raise WireFault("an event has no 'verb'")
-        if verb not in {"NewInstance", "Detach"} | READERS.keys() | LOADED.keys():
+        if verb not in KNOWN:
             continue
         if not isinstance(manager, str):
             raise WireFault(f"'{verb}' has no 'manager'")
@@ -155,6 +155,7 @@
     "TrafficReport": lambda b, f: face.Met(b["locality"], b["worker"], b["count"], b["errors"],
                                            _s(b["costTimeUs"] or 0), _s(b["windowUs"]), _load(b, f)),
 }
+KNOWN = {"NewInstance", "Detach"} | READERS.keys() | LOADED.keys()
 
 WRITERS: dict[type, Callable[[Any], dict]] = {
     face.Share: lambda o: {"verb": "Upsert", "setId": o.tbl, "worker": o.worker, "weight": o.weight},
--- a/dunlinlug/drill/host.py
+++ b/dunlinlug/drill/host.py
@@ -33,17 +33,6 @@
 
 def _answer(instances: dict[str, Hosted], batch: codec.Batch) -> list[dict]:
     pending: dict[str, list] = {}
-    decisions: list[dict] = []
-
-    def settle(manager: str) -> None:
-        events = pending.pop(manager)
-        try:
-            orders = instances[manager].module.decide(batch.now, events)
-            decisions.extend(codec.write_order(manager, order) for order in orders)
-        except Exception as error:
-            text = f"{type(error).__name__}: {error}"
-            decisions.append({"verb": "Broken", "manager": manager, "text": text})
-
     for manager, verb, body in batch.happened:
         if verb == "Detach":
             pending.pop(manager, None)
@@ -54,6 +43,12 @@
             instances[manager] = Hosted(Balancer(trade), trade.report_fields)
         elif manager in instances:
             pending.setdefault(manager, []).append(codec.read_event(verb, body, instances[manager].fields))
-    for manager in list(pending):
-        settle(manager)
+    decisions: list[dict] = []
+    for manager, events in pending.items():
+        try:
+            orders = instances[manager].module.decide(batch.now, events)
+            decisions.extend(codec.write_order(manager, order) for order in orders)
+        except Exception as error:
+            text = f"{type(error).__name__}: {error}"
+            decisions.append({"verb": "Broken", "manager": manager, "text": text})
     return decisions
