--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -450,7 +450,7 @@
         for i in wanted.parts:
             if health.cap[i] != self.noted.get(i, 1.0):
                 self.noted[i] = health.cap[i]
-                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} "
+                orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of "
                                         f"{health.tries[i]:.0f} tries voided, pace {health.pace(i):.2f} s"))
         # Withdrawals first, without stages; then levels, which must not wait behind a change either.
         for i in sorted(wanted.out ^ self.out):
