A crowded channel carries differences: products share a table, joins keep room for withdrawals

Where binding every proxy to all tables anew would take over a second of drain, products that need the same lines share one table and only its changed lines are sent (paper, V-G: only what genuinely changes is updated; equal products are one equivalence class). Joins wait behind a second of drain and leave withdrawals a tenth of the room.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -8,12 +8,12 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from math import inf
 from random import Random
 from statistics import median
 
 from dunlinlug import interface as face
+from dunlinlug.state import Change, Proxy, Table, Wanted
 
 
 class Fleet:
@@ -241,49 +241,6 @@
         return shares
 
 
-@dataclass(eq=False)
-class Table:
-    """A table under its number: each worker's share, and that share's part of the listed weight."""
-
-    number: int
-    shares: dict[int, float]
-    parts: dict[int, float]
-    level: tuple[float, int]  # share let in, and the way of trying again
-    clear_at: float = inf
-
-
-@dataclass(eq=False)
-class Change:
-    """One product's staged change: laid and asked, ready once none is awaited, bound and asked, cleared."""
-
-    version: int
-    table: Table
-    old: Table
-    mark: int  # of the first asking
-    asked_at: float
-    awaited: set[int]
-    bound: bool = False
-
-
-@dataclass(eq=False)
-class Proxy:
-    """A joined proxy: by product the tables it may be using, newest last, with the mark awaited or 0."""
-
-    zone: str
-    holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
-    bound_at: float = inf
-
-
-@dataclass
-class Wanted:
-    """What should be: each ready worker's share and part of its weight, levels by product, who is out."""
-
-    shares: dict[int, float]
-    parts: dict[int, float]
-    levels: list[tuple[float, int]]
-    out: set[int]
-
-
 class Balancer:
     """One manager's decisions."""
 
@@ -292,6 +249,7 @@
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
+    CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
     KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: urgent, in, levels, change
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
@@ -454,8 +412,8 @@
                                         f"{health.tries[i]:.0f} tries voided, pace {health.pace(i):.2f} s"))
         # Withdrawals first, without stages; then levels, which must not wait behind a change either.
         for i in sorted(wanted.out ^ self.out):
-            cost = {p: 1.0 for p, proxy in self.proxies.items()
-                    if any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
+            cost = {p: 1.0 for p, proxy in self.proxies.items() if len(proxy.holds) < self.products
+                    or any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
             if spend(cost, i not in wanted.out):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
@@ -464,36 +422,67 @@
             for k, held in proxy.holds.items():
                 users.setdefault((k, held[-1][0]), {})[p] = 1.0
         for (k, table), cost in users.items():
-            if table.level != wanted.levels[k] and spend(cost, 2):
-                table.level = wanted.levels[k]
-                orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
-        # New tables, the largest change of weight first, laid where nobody is bound: no line but the asking.
+            if table.levels[k] != wanted.levels[k] and spend(cost, 2):
+                table.levels[k] = wanted.levels[k]
+                orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
+        # Changes, the largest of weight first; a table is laid where nobody is bound: no line but the asking.
+        self.current = self.current or dict.fromkeys(range(self.products), self._lay(orders, wanted))
         size = [self._distance(k, wanted) for k in range(self.products)]
         largest = sorted(range(self.products), key=lambda k: -size[k])
-        for k in largest:
-            if k not in self.current:
-                self.current[k] = self._lay(orders, k, wanted)
-            elif size[k] and k not in self.changes and spend(dict.fromkeys(self.proxies, 0), 3, self.TURN):
-                self.versions, everyone = self.versions + 1, True
-                laid = self._lay(orders, k, wanted)
-                self.changes[k] = Change(self.versions, laid, self.current[k], mark, now, set(self.proxies))
+        idle = [k for k in largest if size[k] and k not in self.changes]
+        whole = self.products * (len(wanted.shares) + 2.0) * len(self.proxies)
+        crowded = whole > self.CROWDED * account.rate
+        for group in [idle] if crowded and idle else [[k] for k in idle]:
+            olds = {k: self.current[k] for k in group}
+            table, awaited = olds[group[0]], set(self.proxies)
+            if crowded and len(set(olds.values())) == 1:  # one equivalence class, one table
+                bound = {p for p, proxy in self.proxies.items()
+                         if any(held[-1][0] is table for held in proxy.holds.values())}
+                lines_each = (2 * self.TURN * account.rate - account.waiting()) / max(len(bound), 1)
+                moved = self._moved(table, wanted)[:max(1, int(lines_each - account.channel.message_lines))]
+                if not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
+                    continue
+                for i in moved:
+                    share = wanted.shares.get(i, 0.0)
+                    orders.append(face.Share(table.number, self.fleet.ids[i], share))
+                    for column, value in ((table.shares, share), (table.parts, wanted.parts.get(i, 0.0))):
+                        column[i] = value
+                        if not share:
+                            del column[i]
+                for p in bound:
+                    proxy = self.proxies[p]
+                    proxy.bound_at = now
+                    for k, held in proxy.holds.items():
+                        if held[-1][0] is table:
+                            proxy.holds[k] = [*held[:-1], (table, mark)]
+                awaited = set()
+            elif spend(dict.fromkeys(self.proxies, 0.0), 3, self.TURN):
+                table, everyone = self._lay(orders, wanted), True
+            else:
+                continue
+            for k in group:
+                self.versions += 1
+                self.changes[k] = Change(self.versions, table, olds[k], mark, now, awaited, table is olds[k])
         # Ready changes become current within the window; then whoever is on another table is bound.
         for k, change in self.changes.items():
             older = [c for c in self.changes.values() if c.version < change.version - self.WINDOW]
             if not change.bound and not change.awaited and not any(c.awaited for c in older):
                 change.bound, self.current[k] = True, change.table
-                self.retired.append(change.old)
+                if change.old not in (*self.current.values(), *self.retired):
+                    self.retired.append(change.old)
+                    change.old.clear_at = inf
         for joiners in (True, False):
-            for k in largest:
-                table = self.current[k]
+            for table in dict.fromkeys(self.current[k] for k in largest):
                 for p, proxy in self.proxies.items():
-                    held = proxy.holds.get(k, [])
-                    if joiners == bool(held) or held and held[-1][0] is table:
+                    other = tuple(k for k, current in self.current.items() if current is table
+                                  and (k not in proxy.holds or proxy.holds[k][-1][0] is not table))
+                    if not other or joiners == (other[0] in proxy.holds):
                         continue
-                    cost = {p: 2.0 + len(table.shares) + len(self.out & table.shares.keys())}
-                    if spend(cost, 0 if joiners else 3, inf if joiners else 2 * self.TURN):
-                        orders.append(face.Bind(p, k, table.number))
-                        proxy.holds[k] = [*held, (table, mark)]
+                    cost = {p: 1.0 + self.products + len(table.shares) + len(self.out & table.shares.keys())}
+                    if spend(cost, 1 if joiners else 3, 2 * self.TURN):
+                        orders.append(face.Bind(p, other, table.number))
+                        for k in other:
+                            proxy.holds[k] = [*proxy.holds.get(k, []), (table, mark)]
                         proxy.bound_at = now
         for table in [t for t in self.retired if t.clear_at <= now and t not in self._in_use()]:
             orders.append(face.Clear(table.number))
@@ -515,18 +504,25 @@
     def _free(self, last: int, taken: Iterable[int]) -> int:
         return next(n for n in ((last + k) % self.NUMBERS + 1 for k in range(self.NUMBERS)) if n not in taken)
 
-    def _lay(self, orders: list[face.Order], k: int, wanted: Wanted) -> Table:
+    def _lay(self, orders: list[face.Order], wanted: Wanted) -> Table:
         self.last_number = self._free(self.last_number, self.numbers)
         self.numbers.add(self.last_number)
-        table = Table(self.last_number, wanted.shares, wanted.parts, wanted.levels[k])
+        table = Table(self.last_number, dict(wanted.shares), dict(wanted.parts), list(wanted.levels))
         orders.extend(face.Share(table.number, self.fleet.ids[i], share) for i, share in table.shares.items())
-        if table.level != (self.all_in, self.usual_retry):
-            orders.append(face.Admit(table.number, k, table.level[1], table.level[0]))
+        for k, (share, retry) in enumerate(table.levels):
+            if (share, retry) != (self.all_in, self.usual_retry):
+                orders.append(face.Admit(table.number, k, retry, share))
         return table
 
+    def _moved(self, table: Table, wanted: Wanted) -> list[int]:
+        """Workers whose line differs, the largest first; those taken away, who are withdrawn by now, last."""
+        have, want = table.shares, wanted.shares
+        moved = [i for i in sorted({**have, **want}) if have.get(i) != want.get(i)]
+        return sorted(moved, key=lambda i: (i not in want, -abs(want.get(i, 0.0) - have.get(i, 0.0))))
+
     def _distance(self, k: int, wanted: Wanted) -> float:
         """How much weight a change would move, as a part of the whole."""
-        have, want = self.current[k].shares if k in self.current else {}, wanted.shares
+        have, want = self.current[k].shares, wanted.shares
         all_have, all_want = sum(have.values()) or 1.0, sum(want.values()) or 1.0
         moved = (abs(have.get(i, 0) / all_have - want.get(i, 0) / all_want) for i in sorted({**have, **want}))
         return sum(moved) if have != want else 0.0
--- a/dunlinlug/interface.py
+++ b/dunlinlug/interface.py
@@ -188,10 +188,10 @@
 
 @dataclass(frozen=True)
 class Bind:
-    """Send a proxy a whole table for one product, told by its place in `Trade.products`."""
+    """Send a proxy a whole table for some products, told by their places in `Trade.products`."""
 
     proxy: int
-    product: int
+    products: tuple[int, ...]
     tbl: int
 
 
