Cold workers wait outside while a tenth of all tries is voided

Word of a storm comes 1 to 2 s late, and proxies that avoid failing workers send all to the fresh one. The fleet's mean voided part showed it two seconds before the median. Now a cold worker outside stays there while 10% of all tries are voided or the gate's last beat was too high, one that must stay out gets no line in place, and the multiple a cold worker bears is the least of its whole ramp. May hurt: capacity comes later while a few workers fail.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -247,6 +247,7 @@
     WINDOW = 4  # versions: the paper's four status bits
     SILENT, LIFETIME = 3.0, 2.0  # seconds for an answer beyond the channel's delay; to clearing: the design's
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
+    ROUGH = 0.1  # voided part of all tries from which cold workers wait outside: a load on the rise had 0.14
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
@@ -259,7 +260,9 @@
         self.uniform = Random(trade.seed).uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
-        self.bears = trade.duties.cold_share * trade.duties.fall_multiple / self.STEP  # times its first share
+        cold, rise = trade.duties.cold_share, (1.0 - trade.duties.cold_share) * self.RAISE / self.warm_after
+        self.bears = trade.duties.fall_multiple * min(  # times its share, at the weakest moment of its ramp
+            min(1.0, cold + n * rise) / self.STEP / (n + 1) for n in range(round(1 / self.STEP)))
         self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
         self.fleet, self.account = Fleet(), Account(trade.channel)
         self.health = Health(self.uniform, max(product.expiry for product in trade.products) + self.LATENESS)
@@ -343,6 +346,11 @@
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
         storm = now < health.proven or voided >= self.STORM * self.bears or self.gate.share * self.bears < 1.0
+        # Word of a storm comes seconds late: no other cold worker is let in while tries fail anywhere.
+        tried = sum(health.tries[i] for i in heard)
+        rough = not self.gate.calm or sum(health.voided[i] for i in heard) >= self.ROUGH * tried > 0.0
+        tables = [*self._in_use(), *self.current.values(), *(c.table for c in self.changes.values())]
+        inside = {i for table in tables for i in table.parts} - self.out
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
@@ -351,7 +359,8 @@
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
             most[i] = cap if cap < Health.JAMMED_SHARE else inf
-            most[i] = min(most[i], inf if age >= self.warm_after else 0.0 if storm else part)
+            shut = storm or i not in inside and rough
+            most[i] = min(most[i], inf if age >= self.warm_after else 0.0 if shut else part)
         self._advance(now)
         shares = [self.all_in] * self.products
         if self.admits and heard:
@@ -360,8 +369,8 @@
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. Out while any table gives it too much.
-        tables = [*self._in_use(), *self.current.values(), *(c.table for c in self.changes.values())]
-        out = {i for table in tables for i, part in table.parts.items() if part > most.get(i, 0.0)}
+        given = [*(table.parts for table in tables), parts]
+        out = {i for shares_of in given for i, part in shares_of.items() if part > most.get(i, 0.0)}
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
             ready = table.parts.keys() & weight.keys()
             if ready and ready <= out:
@@ -440,7 +449,7 @@
                          if any(held[-1][0] is table for held in proxy.holds.values())}
                 lines_each = (2 * self.TURN * account.rate - account.waiting()) / max(len(bound), 1)
                 moved = self._moved(table, wanted)[:max(1, int(lines_each - account.channel.message_lines))]
-                if not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
+                if not moved or not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
                     continue
                 for i in moved:
                     share = wanted.shares.get(i, 0.0)
@@ -515,9 +524,13 @@
         return table
 
     def _moved(self, table: Table, wanted: Wanted) -> list[int]:
-        """Workers whose line differs, the largest first; those taken away, who are withdrawn by now, last."""
+        """Workers whose line differs, the largest first; those taken away, who are withdrawn by now, last.
+
+        Danger: one that must stay out gets no line, as nobody may have been told of its withdrawal.
+        """
         have, want = table.shares, wanted.shares
-        moved = [i for i in sorted({**have, **want}) if have.get(i) != want.get(i)]
+        moved = [i for i in sorted({**have, **want}) if have.get(i) != want.get(i)
+                 and (i in have or i not in wanted.out)]
         return sorted(moved, key=lambda i: (i not in want, -abs(want.get(i, 0.0) - have.get(i, 0.0))))
 
     def _distance(self, k: int, wanted: Wanted) -> float:
