Joiners in a crowd are bound to a small table first

Where the channel is crowded, a joiner first gets one of a few tables of six, over which the best workers are dealt; the wire's queue limit is set so that this fits twice with all proxies at one manager. The whole table follows at the channel's pace.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from math import inf
 from random import Random
 from statistics import median
@@ -253,6 +254,7 @@
     CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
     KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: urgent, in, levels, change
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
+    SMALL = 6  # workers in a joiner's first table: what the wire's queue limit allows for all joining at once
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
@@ -271,7 +273,7 @@
         self.proxies: dict[int, Proxy] = {}
         self.current: dict[int, Table] = {}
         self.changes: dict[int, Change] = {}
-        self.retired: list[Table] = []
+        self.retired, self.starters = list[Table](), list[Table]()
         self.versions = self.last_mark = self.last_number = self.last_token = 0
         self.out, self.probing, self.numbers = set[int](), set[int](), set[int]()  # the last: of tables laid
         self.armed: set[float] = set()
@@ -372,7 +374,8 @@
         given = [*(table.parts for table in tables), parts]
         out = {i for shares_of in given for i, part in shares_of.items() if part > most.get(i, 0.0)}
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
-            ready = table.parts.keys() & weight.keys()
+            ready = table.parts.keys() & weight.keys() or (
+                weight.keys() if table in self.current.values() else set())
             if ready and ready <= out:
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
                 shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
@@ -480,6 +483,13 @@
                 if change.old not in (*self.current.values(), *self.retired):
                     self.retired.append(change.old)
                     change.old.clear_at = inf
+        # Danger: nobody left. Whole tables for a crowd of joiners take too long: a small one goes first.
+        for p in [p for p, proxy in self.proxies.items() if crowded and not proxy.holds]:
+            table = self._starter(orders, p, wanted, now)
+            if spend({p: 1.0 + self.products + len(table.shares)}, 0):
+                orders.append(face.Bind(p, tuple(range(self.products)), table.number))
+                self.proxies[p].holds = {k: [(table, mark)] for k in range(self.products)}
+                self.proxies[p].bound_at = now
         for joiners in (True, False):
             for table in dict.fromkeys(self.current[k] for k in largest):
                 for p, proxy in self.proxies.items():
@@ -513,6 +523,20 @@
     def _free(self, last: int, taken: Iterable[int]) -> int:
         return next(n for n in ((last + k) % self.NUMBERS + 1 for k in range(self.NUMBERS)) if n not in taken)
 
+    def _starter(self, orders: list[face.Order], p: int, wanted: Wanted, now: float) -> Table:
+        """One of the small tables over which the best workers are dealt; laid anew once one is not."""
+        best = [i for i, part in wanted.parts.items() if part == 1.0 and i not in wanted.out]
+        best = best or [i for i in wanted.parts if i not in wanted.out] or list(wanted.parts)
+        if {i for table in self.starters for i in table.parts} - set(best) or not self.starters:
+            for table in self.starters:
+                table.clear_at = now + self.LIFETIME
+            self.retired += self.starters
+            count = -(-len(best) // self.SMALL) or 1
+            self.starters = [self._lay(orders, replace(wanted, shares={i: wanted.shares[i] for i in part},
+                                                       parts={i: wanted.parts[i] for i in part}))
+                             for part in (best[n::count] for n in range(count))]
+        return self.starters[p % len(self.starters)]
+
     def _lay(self, orders: list[face.Order], wanted: Wanted) -> Table:
         self.last_number = self._free(self.last_number, self.numbers)
         self.numbers.add(self.last_number)
