A closed gate alone no longer keeps cold workers out

Cause: in a deploy the gate's closing kept all successors outside, which closed it further. The voided part measures what reaches a worker; the gate's share does not.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -347,7 +347,7 @@
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
         voided = median(map(health.part, heard)) if heard else 0.0
-        storm = now < health.proven or voided >= self.STORM * self.bears or self.gate.share * self.bears < 1.0
+        storm = now < health.proven or voided >= self.STORM * self.bears
         # Word of a storm comes seconds late: no other cold worker is let in while tries fail anywhere.
         tried = sum(health.tries[i] for i in heard)
         rough = not self.gate.calm or sum(health.voided[i] for i in heard) >= self.ROUGH * tried > 0.0
