--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -193,6 +193,7 @@
 
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED, SLOW = 0.08, 0.45  # median voided part, and settling time in SLA times, from which on is overload
+    NEAR = 0.8  # of the bound on settling time: voids at a usual pace have other causes than overload
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
@@ -219,7 +220,9 @@
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
-        stress = max(voided / self.VOIDED, pace / self.SLOW * sum(self.asked) / sum(self.work()))
+        # Voids are overload only where txns also settle late: else workers or connections fail, not room.
+        slow = pace / self.SLOW * sum(self.asked) / sum(self.work())
+        stress = max(slow, voided / self.VOIDED if slow >= self.NEAR else 0.0)
         if stress > 1.0:
             self.knee = self.share if self.calm else self.knee
             self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
