Workers fail from half of their tries voided, not 35%

Cause: under slow handshakes 30 to 50% of the tries at most workers void, and in overload chance carries sound ones past 35%: their withdrawal jammed the rest, and each return costs connections anew. It hurts where a worker fails 35 to 50% by itself.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -104,7 +104,7 @@
 
     HALF = 0.8  # seconds in which evidence loses half its weight: a report cycle or two
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
-    FAILING = 0.35  # voided part of the tries from which a worker is failing ...
+    FAILING = 0.5  # voided part of the tries from which a worker is failing ...
     CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none
     PACE, SILENT = 1.6, 0.9  # times the usual pace beyond which a worker may be overfull; a silent one's part
     WELL, BUSY = 0.15, 0.08  # voided part up to which one is raised; the median's from which shares stay put
@@ -194,6 +194,7 @@
     BEAT = 1.0  # seconds between steps: about the time in which a step's effect can be heard
     VOIDED, SLOW = 0.08, 0.45  # median voided part, and settling time in SLA times, from which on is overload
     NEAR = 0.8  # of the bound on settling time: voids at a usual pace have other causes than overload
+    MOST = 0.4  # voided part that is overload at any pace: slow handshakes and lost answers stay below it
     CALM = 0.85  # of either bound: below it more is let in again (hysteresis)
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
@@ -220,9 +221,10 @@
         self.rate += (self.settled / span - self.rate) / 2
         self.best = max(self.rate, self.FORGET * self.best)
         self.came, self.settled = dict.fromkeys(self.came, 0), 0
-        # Voids are overload only where txns also settle late: else workers or connections fail, not room.
+        # Few voids are overload only where txns also settle late: else workers or connections fail, not
+        # room. Danger: with next to all voided there is no pace to go by.
         slow = pace / self.SLOW * sum(self.asked) / sum(self.work())
-        stress = max(slow, voided / self.VOIDED if slow >= self.NEAR else 0.0)
+        stress = max(slow, voided / self.VOIDED if slow >= self.NEAR or voided >= self.MOST else 0.0)
         if stress > 1.0:
             self.knee = self.share if self.calm else self.knee
             self.share = max(self.LESS * self.share, min(self.LEAST * self.best / sum(self.asked), 1.0))
