Health may take a fifth of the ready weight, not two fifths, but for silent ones

Cause: several managers each withdraw on their own thin sums, and in overload or under slow handshakes most of these are false alarms that jam the rest. Guards against any cause that shows at many workers at once. May hurt where more than a fifth fails without falling silent.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -109,7 +109,7 @@
     PACE, SILENT = 1.6, 0.9  # times the usual pace beyond which a worker may be overfull; a silent one's part
     WELL, BUSY = 0.15, 0.08  # voided part up to which one is raised; the median's from which shares stay put
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
-    CEILING = 0.4  # of the ready weight may be lost to health: a zone of three ...
+    CEILING = 0.2  # of the ready weight may be lost to health: a zone of three ...
     CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
     TRIAL, TRIAL_SHARE = 3.0, 0.25  # seconds on trial, a few report cycles, at a share that a cold one bears
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
