--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -104,7 +104,7 @@
 
     HALF = 0.8  # seconds in which evidence loses half its weight: a report cycle or two
     ENOUGH = 3.0  # voided tries before a worker is judged: fewer happen by chance
-    FAILING = 0.5  # voided part of the tries from which a worker is failing ...
+    FAILING = 0.35  # voided part of the tries from which a worker is failing ...
     CONTRAST = 3.0  # ... if also this many times the best quarter's part, so that overload condemns none
     PACE, SILENT = 1.6, 0.9  # times the usual pace beyond which a worker may be overfull; a silent one's part
     WELL, BUSY = 0.15, 0.08  # voided part up to which one is raised; the median's from which shares stay put
