--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -14,43 +14,7 @@
 from statistics import median
 
 from dunlinlug import interface as face
-from dunlinlug.state import Change, Proxy, Table, Wanted
-
-
-class Fleet:
-    """The listed workers, in parallel arrays under an index that a worker keeps for good."""
-
-    def __init__(self) -> None:
-        self.index: dict[str, int] = {}
-        self.ids: list[str] = []
-        self.zones: list[str] = []
-        self.ready: list[bool] = []
-        self.weight: list[float | None] = []
-        self.since: list[float] = []
-
-    def fold(self, news: face.Listed) -> list[int]:
-        """Take in news of the list; tells which workers are new or have a new start."""
-        if news.form in ("whole", "kept"):
-            self.ready = [False] * len(self.ids)  # whoever a whole list does not name is gone
-        fresh = []
-        for entry in news.workers:
-            i = self.index.setdefault(entry.id, len(self.ids))
-            since = -inf if entry.since is None else entry.since
-            if i == len(self.ids):
-                for column, value in ((self.ids, entry.id), (self.zones, entry.zone), (self.ready, False),
-                                      (self.weight, None), (self.since, since)):
-                    column.append(value)
-                fresh.append(i)
-            elif since > self.since[i]:
-                fresh.append(i)
-            self.zones[i], self.weight[i], self.ready[i] = entry.zone, entry.weight, entry.state == "ready"
-            self.since[i] = max(since, self.since[i])
-        return fresh
-
-    def listed_weight(self) -> dict[int, float]:
-        """Each ready worker's weight: as listed, or the average where the list tells none."""
-        told = [w for w, ready in zip(self.weight, self.ready, strict=True) if ready and w] or [1.0]
-        return {i: self.weight[i] or sum(told) / len(told) for i, ready in enumerate(self.ready) if ready}
+from dunlinlug.state import Change, Fleet, Proxy, Table, Wanted
 
 
 class Account:
@@ -347,7 +311,9 @@
     # The wanted state.
 
     def _plan(self, now: float) -> Wanted:
-        weight, health = self.fleet.listed_weight(), self.health
+        fleet, health = self.fleet, self.health
+        told = [w for w, ready in zip(fleet.weight, fleet.ready, strict=True) if ready and w] or [1.0]
+        weight = {i: fleet.weight[i] or sum(told) / len(told) for i, ready in enumerate(fleet.ready) if ready}
         health.judge(now, weight)
         parts, most = {}, {}
         heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
@@ -361,7 +327,7 @@
         for i in weight:
             if not health.cap[i] and health.due[i] <= now and not self.may_probe:
                 health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
-            age, cap = now - self.fleet.since[i], health.cap[i]
+            age, cap = now - fleet.since[i], health.cap[i]
             part = min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
             parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
             # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
@@ -376,14 +342,15 @@
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. Out while any table gives it too much.
-        given = [*(table.parts for table in tables), parts]
-        out = {i for shares_of in given for i, part in shares_of.items() if part > most.get(i, 0.0)}
+        given = [*(table.parts.items() for table in tables), parts.items()]
+        out = {i for items in given for i, part in items if part > most.get(i, 0.0)}
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
-            ready = table.parts.keys() & weight.keys() or (
-                weight.keys() if table in self.current.values() else set())
+            current = table in self.current.values()
+            ready = table.parts.keys() & weight.keys() or (weight.keys() if current else set())
             if ready and ready <= out:
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
-                shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
+                if current:  # most proxies have nobody else
+                    shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
         levels = [(share, retry) for share in shares]
         return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
 
@@ -444,7 +411,9 @@
                 orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
         # Changes, the largest of weight first; a table is laid where nobody is bound: no line but the asking.
         self.current = self.current or dict.fromkeys(range(self.products), self._lay(orders, wanted))
-        size = [self._distance(k, wanted) for k in range(self.products)]
+        want, size = wanted.shares, list[float]()
+        for have in (self.current[k].shares for k in range(self.products)):
+            size.append(sum(abs(want.get(i, 0.0) - have.get(i, 0.0)) for i in {**have, **want}))
         largest = sorted(range(self.products), key=lambda k: -size[k])
         idle = [k for k in largest if size[k] and k not in self.changes]
         whole = self.products * (len(wanted.shares) + 2.0) * len(self.proxies)
@@ -562,13 +531,6 @@
                  and (i in have or i not in wanted.out)]
         return sorted(moved, key=lambda i: (i not in want, -abs(want.get(i, 0.0) - have.get(i, 0.0))))
 
-    def _distance(self, k: int, wanted: Wanted) -> float:
-        """How much weight a change would move, as a part of the whole."""
-        have, want = self.current[k].shares, wanted.shares
-        all_have, all_want = sum(have.values()) or 1.0, sum(want.values()) or 1.0
-        moved = (abs(have.get(i, 0) / all_have - want.get(i, 0) / all_want) for i in sorted({**have, **want}))
-        return sum(moved) if have != want else 0.0
-
     def _wake(self, now: float, orders: list[face.Order], wanted: Wanted) -> None:
         """One timer at the next time at which something is due of itself."""
         busy = self.changes or self.account.sent or self.retired or wanted.out ^ self.out
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -3,6 +3,39 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from dunlinlug import interface as face
+
+
+class Fleet:
+    """The listed workers, in parallel arrays under an index that a worker keeps for good."""
+
+    def __init__(self) -> None:
+        self.index: dict[str, int] = {}
+        self.ids: list[str] = []
+        self.zones: list[str] = []
+        self.ready: list[bool] = []
+        self.weight: list[float | None] = []
+        self.since: list[float] = []
+
+    def fold(self, news: face.Listed) -> list[int]:
+        """Take in news of the list; tells which workers are new or have a new start."""
+        if news.form in ("whole", "kept"):
+            self.ready = [False] * len(self.ids)  # whoever a whole list does not name is gone
+        fresh = []
+        for entry in news.workers:
+            i = self.index.setdefault(entry.id, len(self.ids))
+            since = -inf if entry.since is None else entry.since
+            if i == len(self.ids):
+                for column, value in ((self.ids, entry.id), (self.zones, entry.zone), (self.ready, False),
+                                      (self.weight, None), (self.since, since)):
+                    column.append(value)
+                fresh.append(i)
+            elif since > self.since[i]:
+                fresh.append(i)
+            self.zones[i], self.weight[i], self.ready[i] = entry.zone, entry.weight, entry.state == "ready"
+            self.since[i] = max(since, self.since[i])
+        return fresh
+
 
 @dataclass(eq=False)
 class Table:
