--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -221,9 +221,8 @@
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
     CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
-    KEPT_BACK, KEPT = (0.0, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: urgent, in, levels, change
+    KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: rules, health, levels, rest
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
-    SMALL = 6  # workers in a joiner's first table: what the wire's queue limit allows for all joining at once
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
@@ -234,18 +233,16 @@
         cold, rise = trade.duties.cold_share, (1.0 - trade.duties.cold_share) * self.RAISE / self.warm_after
         self.bears = trade.duties.fall_multiple * min(  # times its share, at the weakest moment of its ramp
             min(1.0, cold + n * rise) / self.STEP / (n + 1) for n in range(round(1 / self.STEP)))
-        self.may_probe, self.sliced = trade.may_probe, trade.slices > 0
+        self.may_probe, self.sliced, self.standing = trade.may_probe, trade.slices > 0, trade.standing
         self.fleet, self.account = Fleet(), Account(trade.channel)
         self.health = Health(self.uniform, max(product.expiry for product in trade.products) + self.LATENESS)
         self.gate, self.admits = Gate(trade.products), trade.admits == "share"
         self.all_in = 1.0 if self.admits else 1e6  # where levels are rates, a share of 1 would shut a proxy
-        self.proxies: dict[int, Proxy] = {}
-        self.current: dict[int, Table] = {}
-        self.changes: dict[int, Change] = {}
+        self.proxies, self.current = dict[int, Proxy](), dict[int, Table]()
+        self.changes, self.armed = dict[int, Change](), set[float]()
         self.retired, self.starters = list[Table](), list[Table]()
         self.versions = self.last_mark = self.last_number = self.last_token = 0
         self.out, self.probing, self.numbers = set[int](), set[int](), set[int]()  # the last: of tables laid
-        self.armed: set[float] = set()
         self.ask_at, self.ask_wait = -inf if trade.must_ask else inf, self.ASK_WAIT
         self.noted, self.told = dict[int, float](), False
 
@@ -320,8 +317,8 @@
         voided = median(map(health.part, heard)) if heard else 0.0
         storm = now < health.proven or voided >= self.STORM * self.bears
         # Word of a storm comes seconds late: no other cold worker is let in while tries fail anywhere.
-        tried = sum(health.tries[i] for i in heard)
-        rough = not self.gate.calm or sum(health.voided[i] for i in heard) >= self.ROUGH * tried > 0.0
+        tries, voids = (sum(column[i] for i in heard) for column in (health.tries, health.voided))
+        rough = not self.gate.calm or voids >= self.ROUGH * tries > 0.0
         tables = [*self._in_use(), *self.current.values(), *(c.table for c in self.changes.values())]
         inside = {i for table in tables for i in table.parts} - self.out
         for i in weight:
@@ -388,17 +385,25 @@
             lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
             return True
 
+        def bind(p: int, products: tuple[int, ...], table: Table, rank: int, budget: float = inf) -> None:
+            cost = 1.0 + self.products + len(table.shares) + len(self.out & table.shares.keys())
+            if spend({p: cost}, rank, budget):
+                orders.append(face.Bind(p, products, table.number))
+                proxy = self.proxies[p]
+                proxy.bound_at = now
+                proxy.holds.update({k: [*proxy.holds.get(k, []), (table, mark)] for k in products})
+
         health = self.health
         for i in wanted.parts:
             if health.cap[i] != self.noted.get(i, 1.0):
                 self.noted[i] = health.cap[i]
                 orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of "
                                         f"{health.tries[i]:.0f} tries voided, pace {health.pace(i):.2f} s"))
-        # Withdrawals first, without stages; then levels, which must not wait behind a change either.
-        for i in sorted(wanted.out ^ self.out):
+        # Withdrawals first, without stages, the rules' before those for health; levels wait for no change.
+        for i in sorted(wanted.out ^ self.out, key=lambda i: (i in wanted.parts, i)):
             cost = {p: 1.0 for p, proxy in self.proxies.items() if len(proxy.holds) < self.products
                     or any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
-            if spend(cost, i not in wanted.out):
+            if spend(cost, i not in wanted.out or i in wanted.parts and not health.cap[i]):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
         users: dict[tuple[int, Table], dict[int, float]] = {}
@@ -416,11 +421,10 @@
             size.append(sum(abs(want.get(i, 0.0) - have.get(i, 0.0)) for i in {**have, **want}))
         largest = sorted(range(self.products), key=lambda k: -size[k])
         idle = [k for k in largest if size[k] and k not in self.changes]
-        whole = self.products * (len(wanted.shares) + 2.0) * len(self.proxies)
-        crowded = whole > self.CROWDED * account.rate
+        crowded = self.products * (len(want) + 2.0) * len(self.proxies) > self.CROWDED * account.rate
         for group in [idle] if crowded and idle else [[k] for k in idle]:
             olds = {k: self.current[k] for k in group}
-            table, awaited = olds[group[0]], set(self.proxies)
+            table = olds[group[0]]
             if crowded and len(set(olds.values())) == 1:  # one equivalence class, one table
                 bound = {p for p, proxy in self.proxies.items()
                          if any(held[-1][0] is table for held in proxy.holds.values())}
@@ -429,25 +433,20 @@
                 if not moved or not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
                     continue
                 for i in moved:
-                    share = wanted.shares.get(i, 0.0)
-                    orders.append(face.Share(table.number, self.fleet.ids[i], share))
-                    for column, value in ((table.shares, share), (table.parts, wanted.parts.get(i, 0.0))):
-                        column[i] = value
-                        if not share:
-                            del column[i]
-                for p in bound:
-                    proxy = self.proxies[p]
+                    orders.append(face.Share(table.number, self.fleet.ids[i], want.get(i, 0.0)))
+                    table.shares[i], table.parts[i] = want.get(i, 0.0), wanted.parts.get(i, 0.0)
+                    if i not in want:
+                        del table.shares[i], table.parts[i]
+                for proxy in (self.proxies[p] for p in bound):
                     proxy.bound_at = now
-                    for k, held in proxy.holds.items():
-                        if held[-1][0] is table:
-                            proxy.holds[k] = [*held[:-1], (table, mark)]
-                awaited = set()
+                    proxy.holds = {k: [*held[:-1], (table, mark)] if held[-1][0] is table else held
+                                   for k, held in proxy.holds.items()}
             elif spend(dict.fromkeys(self.proxies, 0.0), 3, self.TURN):
                 table, everyone = self._lay(orders, wanted), True
             else:
                 continue
             for k in group:
-                self.versions += 1
+                self.versions, awaited = self.versions + 1, set() if table is olds[k] else set(self.proxies)
                 self.changes[k] = Change(self.versions, table, olds[k], mark, now, awaited, table is olds[k])
         # Ready changes become current within the window; then whoever is on another table is bound.
         for k, change in self.changes.items():
@@ -455,28 +454,17 @@
             if not change.bound and not change.awaited and not any(c.awaited for c in older):
                 change.bound, self.current[k] = True, change.table
                 if change.old not in (*self.current.values(), *self.retired):
-                    self.retired.append(change.old)
-                    change.old.clear_at = inf
+                    self.retired, change.old.clear_at = [*self.retired, change.old], inf
         # Danger: nobody left. Whole tables for a crowd of joiners take too long: a small one goes first.
         for p in [p for p, proxy in self.proxies.items() if crowded and not proxy.holds]:
-            table = self._starter(orders, p, wanted, now)
-            if spend({p: 1.0 + self.products + len(table.shares)}, 0):
-                orders.append(face.Bind(p, tuple(range(self.products)), table.number))
-                self.proxies[p].holds = {k: [(table, mark)] for k in range(self.products)}
-                self.proxies[p].bound_at = now
+            bind(p, tuple(range(self.products)), self._starter(orders, p, wanted, now), 0)
         for joiners in (True, False):
             for table in dict.fromkeys(self.current[k] for k in largest):
                 for p, proxy in self.proxies.items():
                     other = tuple(k for k, current in self.current.items() if current is table
                                   and (k not in proxy.holds or proxy.holds[k][-1][0] is not table))
-                    if not other or joiners == (other[0] in proxy.holds):
-                        continue
-                    cost = {p: 1.0 + self.products + len(table.shares) + len(self.out & table.shares.keys())}
-                    if spend(cost, 1 if joiners else 3, 2 * self.TURN):
-                        orders.append(face.Bind(p, other, table.number))
-                        for k in other:
-                            proxy.holds[k] = [*proxy.holds.get(k, []), (table, mark)]
-                        proxy.bound_at = now
+                    if other and joiners != (other[0] in proxy.holds):
+                        bind(p, other, table, 1 if joiners else 3, 2 * self.TURN)
         for table in [t for t in self.retired if t.clear_at <= now and t not in self._in_use()]:
             orders.append(face.Clear(table.number))
             self.retired.remove(table)
@@ -498,23 +486,23 @@
         return next(n for n in ((last + k) % self.NUMBERS + 1 for k in range(self.NUMBERS)) if n not in taken)
 
     def _starter(self, orders: list[face.Order], p: int, wanted: Wanted, now: float) -> Table:
-        """One of the small tables over which the best workers are dealt; laid anew once one is not."""
+        """One of the tables of standing size over which the best workers are dealt; anew once one is not."""
         best = [i for i, part in wanted.parts.items() if part == 1.0 and i not in wanted.out]
         best = best or [i for i in wanted.parts if i not in wanted.out] or list(wanted.parts)
         if {i for table in self.starters for i in table.parts} - set(best) or not self.starters:
             for table in self.starters:
                 table.clear_at = now + self.LIFETIME
             self.retired += self.starters
-            count = -(-len(best) // self.SMALL) or 1
-            self.starters = [self._lay(orders, replace(wanted, shares={i: wanted.shares[i] for i in part},
-                                                       parts={i: wanted.parts[i] for i in part}))
-                             for part in (best[n::count] for n in range(count))]
+            count = -(-len(best) // self.standing) or 1
+            dealt = [{i: wanted.shares[i] for i in best[n::count]} for n in range(count)]
+            self.starters = [self._lay(orders, replace(wanted, shares=shares)) for shares in dealt]
         return self.starters[p % len(self.starters)]
 
     def _lay(self, orders: list[face.Order], wanted: Wanted) -> Table:
         self.last_number = self._free(self.last_number, self.numbers)
         self.numbers.add(self.last_number)
-        table = Table(self.last_number, dict(wanted.shares), dict(wanted.parts), list(wanted.levels))
+        parts = {i: wanted.parts.get(i, 1.0) for i in wanted.shares}
+        table = Table(self.last_number, dict(wanted.shares), parts, list(wanted.levels))
         orders.extend(face.Share(table.number, self.fleet.ids[i], share) for i, share in table.shares.items())
         for k, (share, retry) in enumerate(table.levels):
             if (share, retry) != (self.all_in, self.usual_retry):
@@ -522,14 +510,11 @@
         return table
 
     def _moved(self, table: Table, wanted: Wanted) -> list[int]:
-        """Workers whose line differs, the largest first; those taken away, who are withdrawn by now, last.
-
-        Danger: one that must stay out gets no line, as nobody may have been told of its withdrawal.
-        """
+        """Workers whose line differs, the largest first; those taken away, who are withdrawn by now, last."""
         have, want = table.shares, wanted.shares
-        moved = [i for i in sorted({**have, **want}) if have.get(i) != want.get(i)
-                 and (i in have or i not in wanted.out)]
-        return sorted(moved, key=lambda i: (i not in want, -abs(want.get(i, 0.0) - have.get(i, 0.0))))
+        # Danger: a new line for one that must stay out, as nobody may have been told of its withdrawal.
+        moved = {i for i in {**have, **want} if have.get(i) != want.get(i)} - (wanted.out - have.keys())
+        return sorted(moved, key=lambda i: (i not in want, -abs(want.get(i, 0.0) - have.get(i, 0.0)), i))
 
     def _wake(self, now: float, orders: list[face.Order], wanted: Wanted) -> None:
         """One timer at the next time at which something is due of itself."""
--- a/dunlinlug/drill/codec.py
+++ b/dunlinlug/drill/codec.py
@@ -119,7 +119,7 @@
         report_fields=tuple(LOADS.get(name, name) for name in reporting.get("fields") or ()),
         reports_in=reporting.get("how") or "none", report_cycle=_s(spec.get("cycleUs") or MICRO),
         usual_retry=int(spec.get("usualHow") or 0), admits=ADMITS.get(spec.get("admit"), "none"),
-        slices=int(spec.get("keyRanges") or 0),
+        slices=int(spec.get("keyRanges") or 0), standing=max(1, int(spec.get("initialSet") or 1)),
     )
 
 
--- a/dunlinlug/interface.py
+++ b/dunlinlug/interface.py
@@ -64,6 +64,7 @@
     usual_retry: int = 1
     admits: str = "none"
     slices: int = 0
+    standing: int = 1  # workers that a proxy's table holds at its start, for which the channel has room
 
 
 @dataclass(frozen=True)
