Health, levels and letting in wait behind a second of drain at most

It also keeps joins and cold withdrawals quick in a full channel; it hurts where a health step comes late in a slow one.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -348,8 +348,7 @@
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
                 if current:  # most proxies have nobody else
                     shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
-        levels = [(share, retry) for share in shares]
-        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, levels, out)
+        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, [(share, retry) for share in shares], out)
 
     def _in_use(self) -> list[Table]:
         return list(dict.fromkeys(table for proxy in self.proxies.values()
@@ -399,11 +398,12 @@
                 self.noted[i] = health.cap[i]
                 orders.append(face.Note(f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of "
                                         f"{health.tries[i]:.0f} tries voided, pace {health.pace(i):.2f} s"))
-        # Withdrawals first, without stages, the rules' before those for health; levels wait for no change.
+        # Withdrawals first, without stages, the rules' ahead. Danger: all else in a slow channel's way.
         for i in sorted(wanted.out ^ self.out, key=lambda i: (i in wanted.parts, i)):
             cost = {p: 1.0 for p, proxy in self.proxies.items() if len(proxy.holds) < self.products
                     or any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
-            if spend(cost, i not in wanted.out or i in wanted.parts and not health.cap[i]):
+            ruled = i in wanted.out and (i not in wanted.parts or health.cap[i] > 0.0)
+            if spend(cost, not ruled, inf if ruled else 2 * self.TURN):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
         users: dict[tuple[int, Table], dict[int, float]] = {}
@@ -411,7 +411,7 @@
             for k, held in proxy.holds.items():
                 users.setdefault((k, held[-1][0]), {})[p] = 1.0
         for (k, table), cost in users.items():
-            if table.levels[k] != wanted.levels[k] and spend(cost, 2):
+            if table.levels[k] != wanted.levels[k] and spend(cost, 2, 2 * self.TURN):
                 table.levels[k] = wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
         # Changes, the largest of weight first; a table is laid where nobody is bound: no line but the asking.
