--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -348,7 +348,8 @@
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
                 if current:  # most proxies have nobody else
                     shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
-        return Wanted({i: w * parts[i] for i, w in weight.items()}, parts, [(share, retry) for share in shares], out)
+        wanted = {i: w * parts[i] for i, w in weight.items()}
+        return Wanted(wanted, parts, [(share, retry) for share in shares], out)
 
     def _in_use(self) -> list[Table]:
         return list(dict.fromkeys(table for proxy in self.proxies.values()
@@ -388,9 +389,8 @@
             cost = 1.0 + self.products + len(table.shares) + len(self.out & table.shares.keys())
             if spend({p: cost}, rank, budget):
                 orders.append(face.Bind(p, products, table.number))
-                proxy = self.proxies[p]
-                proxy.bound_at = now
-                proxy.holds.update({k: [*proxy.holds.get(k, []), (table, mark)] for k in products})
+                self.proxies[p].bound_at, holds = now, self.proxies[p].holds
+                holds.update({k: [*holds.get(k, []), (table, mark)] for k in products})
 
         health = self.health
         for i in wanted.parts:
