--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -219,7 +219,7 @@
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     ROUGH = 0.1  # voided part of all tries from which cold workers wait outside: a load on the rise had 0.14
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
-    TURN = 0.5  # seconds of drain that may wait when a change is begun, twice that while it binds
+    TURN = 0.5  # seconds of drain that may wait at a change; health 2 turns, binds 3, levels 4
     CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
     KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: rules, health, levels, rest
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
@@ -346,8 +346,7 @@
             ready = table.parts.keys() & weight.keys() or (weight.keys() if current else set())
             if ready and ready <= out:
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
-                if current:  # most proxies have nobody else
-                    shares = [min(share, self.ONLY_COLD * self.all_in) for share in shares]
+                shares = [min(s, self.ONLY_COLD * self.all_in) if current else s for s in shares]
         wanted = {i: w * parts[i] for i, w in weight.items()}
         return Wanted(wanted, parts, [(share, retry) for share in shares], out)
 
@@ -411,7 +410,7 @@
             for k, held in proxy.holds.items():
                 users.setdefault((k, held[-1][0]), {})[p] = 1.0
         for (k, table), cost in users.items():
-            if table.levels[k] != wanted.levels[k] and spend(cost, 2, 2 * self.TURN):
+            if table.levels[k] != wanted.levels[k] and spend(cost, 2, 4 * self.TURN):
                 table.levels[k] = wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
         # Changes, the largest of weight first; a table is laid where nobody is bound: no line but the asking.
@@ -455,16 +454,19 @@
                 change.bound, self.current[k] = True, change.table
                 if change.old not in (*self.current.values(), *self.retired):
                     self.retired, change.old.clear_at = [*self.retired, change.old], inf
-        # Danger: nobody left. Whole tables for a crowd of joiners take too long: a small one goes first.
-        for p in [p for p, proxy in self.proxies.items() if crowded and not proxy.holds]:
-            bind(p, tuple(range(self.products)), self._starter(orders, p, wanted, now), 0)
+        # Danger: nobody left while whole tables take long. A small one goes first, again if it loses all.
+        usable = wanted.parts.keys() - wanted.out
+        for p, proxy in self.proxies.items() if crowded else ():
+            newest = [held[-1][0].shares.keys() for held in proxy.holds.values()]
+            if not newest or usable and any(usable.isdisjoint(shares) for shares in newest):
+                bind(p, tuple(range(self.products)), self._starter(orders, p, wanted, now), 0)
         for joiners in (True, False):
             for table in dict.fromkeys(self.current[k] for k in largest):
                 for p, proxy in self.proxies.items():
                     other = tuple(k for k, current in self.current.items() if current is table
                                   and (k not in proxy.holds or proxy.holds[k][-1][0] is not table))
                     if other and joiners != (other[0] in proxy.holds):
-                        bind(p, other, table, 1 if joiners else 3, 2 * self.TURN)
+                        bind(p, other, table, 1 if joiners else 3, 3 * self.TURN)
         for table in [t for t in self.retired if t.clear_at <= now and t not in self._in_use()]:
             orders.append(face.Clear(table.number))
             self.retired.remove(table)
@@ -490,19 +492,17 @@
         best = [i for i, part in wanted.parts.items() if part == 1.0 and i not in wanted.out]
         best = best or [i for i in wanted.parts if i not in wanted.out] or list(wanted.parts)
         if {i for table in self.starters for i in table.parts} - set(best) or not self.starters:
-            for table in self.starters:
-                table.clear_at = now + self.LIFETIME
             self.retired += self.starters
             count = -(-len(best) // self.standing) or 1
             dealt = [{i: wanted.shares[i] for i in best[n::count]} for n in range(count)]
-            self.starters = [self._lay(orders, replace(wanted, shares=shares)) for shares in dealt]
+            self.starters = [self._lay(orders, replace(wanted, shares=part), now) for part in dealt]
         return self.starters[p % len(self.starters)]
 
-    def _lay(self, orders: list[face.Order], wanted: Wanted) -> Table:
+    def _lay(self, orders: list[face.Order], wanted: Wanted, clear_at: float = inf) -> Table:
         self.last_number = self._free(self.last_number, self.numbers)
         self.numbers.add(self.last_number)
         parts = {i: wanted.parts.get(i, 1.0) for i in wanted.shares}
-        table = Table(self.last_number, dict(wanted.shares), parts, list(wanted.levels))
+        table = Table(self.last_number, dict(wanted.shares), parts, list(wanted.levels), clear_at)
         orders.extend(face.Share(table.number, self.fleet.ids[i], share) for i, share in table.shares.items())
         for k, (share, retry) in enumerate(table.levels):
             if (share, retry) != (self.all_in, self.usual_retry):
