--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -219,7 +219,7 @@
     LATENESS, STORM = 2.0, 0.1  # seconds to a void's report; median voided part for each share a cold bears
     ROUGH = 0.1  # voided part of all tries from which cold workers wait outside: a load on the rise had 0.14
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
-    TURN = 0.5  # seconds of drain that may wait at a change; health 2 turns, binds 3, levels 4
+    TURN = 0.5  # seconds of drain that may wait at a change; twice or thrice at a bind, else four times
     CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
     KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: rules, health, levels, rest
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
@@ -402,7 +402,7 @@
             cost = {p: 1.0 for p, proxy in self.proxies.items() if len(proxy.holds) < self.products
                     or any(i in table.shares for held in proxy.holds.values() for table, _ in held)}
             ruled = i in wanted.out and (i not in wanted.parts or health.cap[i] > 0.0)
-            if spend(cost, not ruled, inf if ruled else 2 * self.TURN):
+            if spend(cost, not ruled, inf if ruled else 4 * self.TURN):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
         users: dict[tuple[int, Table], dict[int, float]] = {}
@@ -466,7 +466,7 @@
                     other = tuple(k for k, current in self.current.items() if current is table
                                   and (k not in proxy.holds or proxy.holds[k][-1][0] is not table))
                     if other and joiners != (other[0] in proxy.holds):
-                        bind(p, other, table, 1 if joiners else 3, 3 * self.TURN)
+                        bind(p, other, table, 1 if joiners else 3, (3 if crowded else 2) * self.TURN)
         for table in [t for t in self.retired if t.clear_at <= now and t not in self._in_use()]:
             orders.append(face.Clear(table.number))
             self.retired.remove(table)
