--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -220,7 +220,6 @@
     ROUGH = 0.1  # voided part of all tries from which cold workers wait outside: a load on the rise had 0.14
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait at a change; twice or thrice at a bind, else four times
-    CROWDED = 1.0  # seconds of drain for all tables to all proxies beyond which only differences are sent
     KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: rules, health, levels, rest
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
@@ -413,18 +412,19 @@
             if table.levels[k] != wanted.levels[k] and spend(cost, 2, 4 * self.TURN):
                 table.levels[k] = wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
-        # Changes, the largest of weight first; a table is laid where nobody is bound: no line but the asking.
+        # Changes, the largest of weight first, laid where nobody is bound. Departure: where all tables to all
+        # proxies exceed a turn's drain, equal products share one, and only its differences go (paper, V-G).
         self.current = self.current or dict.fromkeys(range(self.products), self._lay(orders, wanted))
         want, size = wanted.shares, list[float]()
         for have in (self.current[k].shares for k in range(self.products)):
             size.append(sum(abs(want.get(i, 0.0) - have.get(i, 0.0)) for i in {**have, **want}))
         largest = sorted(range(self.products), key=lambda k: -size[k])
         idle = [k for k in largest if size[k] and k not in self.changes]
-        crowded = self.products * (len(want) + 2.0) * len(self.proxies) > self.CROWDED * account.rate
+        crowded = self.products * (len(want) + 2.0) * len(self.proxies) > self.TURN * account.rate
         for group in [idle] if crowded and idle else [[k] for k in idle]:
             olds = {k: self.current[k] for k in group}
             table = olds[group[0]]
-            if crowded and len(set(olds.values())) == 1:  # one equivalence class, one table
+            if crowded and len(set(olds.values())) == 1:
                 bound = {p for p, proxy in self.proxies.items()
                          if any(held[-1][0] is table for held in proxy.holds.values())}
                 lines_each = (2 * self.TURN * account.rate - account.waiting()) / max(len(bound), 1)
