--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -35,7 +35,7 @@
 
     def messages_left(self, proxy: int, now: float) -> float:
         recent = sum(at >= now - self.channel.messages_span for at in self.written.get(proxy, ()))
-        return self.channel.messages_most - recent if self.channel.messages_most else inf
+        return 1.0 - recent / self.channel.messages_most if self.channel.messages_most else inf
 
     def book(self, mark: int, now: float, lines: dict[int, float]) -> None:
         start, self.issued = self.issued, self.issued + sum(lines.values())
@@ -73,7 +73,7 @@
     PACE, SILENT = 1.6, 0.9  # times the usual pace beyond which a worker may be overfull; a silent one's part
     WELL, BUSY = 0.15, 0.08  # voided part up to which one is raised; the median's from which shares stay put
     LEARN = 0.03  # of each report goes into what is usual: dozens of reports
-    CEILING = 0.2  # of the ready weight may be lost to health: a zone of three ...
+    CEILING = 0.2  # of the ready weight may be lost to health: more that fail in part have a common cause ...
     CUT_OFF = 0.8  # ... but for silent ones, while a quarter of the fleet does well: zones cut off or lost
     TRIAL, TRIAL_SHARE = 3.0, 0.25  # seconds on trial, a few report cycles, at a share that a cold one bears
     JAMMED_SHARE = 0.5  # for a jammed or slow worker; a quarter pushed too much onto the rest
@@ -217,7 +217,7 @@
     ROUGH = 0.1  # voided part of all tries from which cold workers wait outside: a load on the rise had 0.14
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait at a change; twice or thrice at a bind, else four times
-    KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0, 3, 6, 10)  # of lines, messages: rules, health, levels, rest
+    KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0.0, 0.4, 0.4, 0.5)  # parts: rules, health, levels, rest
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
