--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -217,7 +217,7 @@
     ROUGH = 0.1  # voided part of all tries from which cold workers wait outside: a load on the rise had 0.14
     STEP, RAISE = 0.25, 5.0  # a fresh worker's first share and each raise, and seconds between: the design's
     TURN = 0.5  # seconds of drain that may wait at a change; twice or thrice at a bind, else four times
-    KEPT_BACK, KEPT = (0.04, 0.1, 0.2, 0.4), (0.0, 0.4, 0.4, 0.5)  # parts: rules, health, levels, rest
+    KEPT_BACK, KEPT = (0.08, 0.12, 0.2, 0.4), (0.0, 0.4, 0.4, 0.5)  # parts: rules, health, levels, rest
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
