Tables in use are gathered once for all retired ones, not once for each

Read over: the clearing step walked every proxy's tables again for each retired table, up to one for each small table.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -427,8 +427,7 @@
         largest = sorted(range(self.products), key=lambda k: -size[k])
         idle = [k for k in largest if size[k] and k not in self.changes]
         for group in [idle] if crowded and idle else [[k] for k in idle]:
-            olds = {k: self.current[k] for k in group}
-            table = olds[group[0]]
+            olds, table = {k: self.current[k] for k in group}, self.current[group[0]]
             if crowded and len(set(olds.values())) == 1:
                 bound = {p for p, proxy in self.proxies.items()
                          if any(held[-1][0] is table for held in proxy.holds.values())}
@@ -467,7 +466,8 @@
                     begun = crowded and proxy.bound_at == now  # with a small table in this very reply
                     if other and joiners != (other[0] in proxy.holds) and not begun:
                         bind(p, other, table, 1 if joiners else 3, (3 if crowded else 2) * self.TURN)
-        done = [t for t in self.retired if t.clear_at <= now and t not in self._in_use()]
+        held = self._in_use() if self.retired else []
+        done = [t for t in self.retired if t.clear_at <= now and t not in held]
         self.retired = [t for t in self.retired if t not in done]
         self.numbers -= {t.number for t in done}
         orders.extend(face.Clear(t.number) for t in done)
