--- /dev/null
+++ b/dunlinlug/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m dunlinlug`."""
+
+from dunlinlug.cli import main
+
+main()
--- /dev/null
+++ b/dunlinlug/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The verdict on a day, from the stand-ins' records alone."""
--- /dev/null
+++ b/dunlinlug/audit/report.py
@@ -0,0 +1,26 @@
+"""A verdict as text for people."""
+
+from pathlib import Path
+
+from dunlinlug.audit import figures, records, rules
+from dunlinlug.day import terms
+
+
+def report(folder: Path) -> tuple[str, bool]:
+    """The text, and whether every rule was kept. Raises RecordFault."""
+    found = records.read(folder)
+    begin = found.of("begin")[0]["at"] + found.of("begin")[0]["lead"]
+    breaks, sums = rules.judge(found), figures.figures(found)
+    book = found.book
+    out = [f"{book.one(terms.Day).name}: {book.one(terms.Day).length:g} s, {book.one(terms.Fleet).workers} workers, "
+           f"{book.one(terms.Proxies).count} proxies; stand-ins on loopback"]
+    out += [f"BROKEN {b.rule} at {b.at - begin:.2f} s proxy {b.proxy or '-'} worker {b.worker or '-'}: {b.said} "
+            f"[{', '.join(b.evidence) or 'sums over all proxies'}]" for b in breaks]
+    out.append("rules: broken, the day counts for nothing" if breaks else "rules: all five kept")
+    out.append(f"served within the SLA time: {sums.served:.3f} of revenue, worst 10 s {sums.worst:.3f}, "
+               + ", ".join(f"{name} {part:.3f}" for name, part in sums.by_product.items()))
+    out.append("txns: " + ", ".join(f"{n} {name}" for name, n in sorted(sums.outcomes.items())))
+    out += [f"{name}: p50 {p50:.3f} s, p99 {p99:.3f} s" for name, (p50, p99) in sums.times.items()]
+    out.append(f"roster news to last answer: median {sums.news[0]:.2f} s, longest {sums.news[1]:.2f} s; "
+               f"lines waiting at most {sums.waited:.0f}; messages {sums.messages}")
+    return "\n".join(out), not breaks
--- /dev/null
+++ b/dunlinlug/day/play.py
@@ -0,0 +1,232 @@
+"""Plays a day: starts every part as its own process, walks the timeline, ends all of it within its time."""
+
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from subprocess import PIPE
+from typing import Any
+
+import trio
+
+from dunlinlug.book import Book
+from dunlinlug.day import terms
+from dunlinlug.day.troubles import Cast, Step, Troubles
+from dunlinlug.manager import terms as manager_terms
+from dunlinlug.standin.stage import Record
+
+PORTS = range(12000, 30000)  # below the range that systems draw outgoing ports from: a port that is down stays ours
+READY, ENDING = 20.0, 4.0  # seconds to start up, and to end before being killed
+MANAGER = (sys.executable, "-m", "dunlinlug", "manager")
+
+
+class DayFault(Exception):
+    """The day could not be played; says which part and why."""
+
+
+class Ports:
+    """Free loopback ports, none twice."""
+
+    def __init__(self) -> None:
+        self.chance, self.given = Random(f"{os.getpid()} {time.time_ns()}"), set[int]()
+
+    def take(self) -> int:
+        for port in iter(lambda: self.chance.choice(PORTS), None):
+            with socket.socket() as attempt:
+                attempt.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    attempt.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+            if port not in self.given:
+                self.given.add(port)
+                return port
+        raise DayFault("no free port")
+
+
+def lay_out(day_file: Path, run_file: Path, folder: Path, ports: Ports) -> Book:
+    """Give every part its address and write the run file that all stand-ins read."""
+    book = terms.read(day_file)
+    fleet, proxies, load = book.one(terms.Fleet), book.one(terms.Proxies), book.one(terms.Load)
+    chance = Random(book.one(terms.Day).seed)
+    extra: dict[str, dict[str, str]] = {
+        "manager": {"listen": f"127.0.0.1:{ports.take()}", "store": str(folder / "store"), "log": "json"},
+        "roster": {"address": f"127.0.0.1:{ports.take()}"}}
+    for n in range(fleet.workers):
+        cores, _, speed = fleet.kinds[n % len(fleet.kinds)].partition("x")
+        listed = float(cores) * float(speed) * chance.uniform(0.9, 1.1) / 2.0
+        extra[f"worker 127.0.0.1:{ports.take()}"] = {
+            "zone": fleet.zones[n % len(fleet.zones)], "cores": cores, "speed": speed, "weight": f"{listed:.2f}"}
+    rates = [chance.lognormvariate(0.0, 0.5) for _ in range(proxies.count)]
+    for n, rate in enumerate(rates):
+        extra[f"proxy p{n}"] = {
+            "zone": fleet.zones[n % len(fleet.zones)], "address": f"127.0.0.1:{ports.take()}",
+            "group": str(n % proxies.processes), "rate": f"{rate / sum(rates) * load.txns_per_s:.3f}"}
+    terms.copy_sections(day_file, extra, None, run_file)
+    return terms.read(run_file)
+
+
+class Part:
+    """One process of the day."""
+
+    def __init__(self, name: str, process: trio.Process) -> None:
+        self.name, self.process = name, process
+
+    async def tell(self, command: dict[str, Any]) -> None:
+        assert self.process.stdin is not None
+        await self.process.stdin.send_all(json.dumps(command).encode() + b"\n")
+
+    async def ready(self) -> None:
+        assert self.process.stdout is not None
+        with trio.move_on_after(READY):
+            if b"ready" in await self.process.stdout.receive_some():
+                return
+        raise DayFault(f"{self.name} did not start")
+
+    async def end(self) -> None:
+        """Ask, then insist; leaves no process."""
+        with trio.CancelScope(shield=True):
+            if self.process.stdin is not None:
+                await self.process.stdin.aclose()
+            if self.process.returncode is None:
+                self.process.send_signal(signal.SIGCONT)
+            with trio.move_on_after(ENDING):
+                if self.name == "manager" and self.process.returncode is None:
+                    self.process.terminate()
+                await self.process.wait()
+            if self.process.returncode is None:
+                self.process.kill()
+                await self.process.wait()
+
+
+class Player:
+    """One day in one folder."""
+
+    def __init__(self, day_file: Path, folder: Path, manager: Sequence[str] = MANAGER) -> None:
+        self.folder, self.command = folder, manager
+        folder.mkdir(parents=True, exist_ok=True)
+        self.run_file, self.manager_file = folder / "run.ini", folder / "manager.ini"
+        self.book = lay_out(day_file, self.run_file, folder, Ports())
+        self.only = frozenset({*manager_terms.SINGLE, *manager_terms.NAMED})
+        self._write_manager({})
+        self.record = Record(folder / "day.jsonl")
+        self.zones = {name: place.zone for name, place in self.book.many(terms.WorkerPlace).items()}
+        self.parts: dict[str, Part] = {}
+        self.manager: Part | None = None
+
+    def _write_manager(self, extra: dict[str, dict[str, str]]) -> None:
+        terms.copy_sections(self.run_file, extra, self.only, self.manager_file)
+
+    def steps(self) -> list[Step]:
+        proxies = {name: place.zone for name, place in self.book.many(terms.ProxyPlace).items()}
+        cast = Cast(self.zones, proxies, self.book.one(terms.Fleet).notice)
+        chance = Random(f"{self.book.one(terms.Day).seed} troubles")
+        return Troubles(cast, chance).steps(list(self.book.many(terms.Trouble).values()))
+
+    async def play(self) -> None:
+        """The whole day; raises DayFault, and leaves no process either way."""
+        day = self.book.one(terms.Day)
+        expiry = max(ware.expiry for ware in self.book.many(manager_terms.Ware).values())
+        whole = day.lead + day.length + expiry + 1.0
+        try:
+            with trio.fail_after(whole + 2 * READY):
+                async with self._cast():
+                    self.record.write("begin", lead=day.lead, length=day.length)
+                    begun = trio.current_time()
+                    for step in self.steps():
+                        await trio.sleep_until(begun + day.lead + step.at)
+                        self._see_all()
+                        await self._do(step)
+                    await trio.sleep_until(begun + whole)
+                    self._see_all()
+                    self.record.write("end")
+        except trio.TooSlowError:
+            raise DayFault("the day did not end within its time") from None
+        finally:
+            self.record.close()
+
+    @asynccontextmanager
+    async def _cast(self) -> AsyncIterator[None]:
+        standins = {"roster": ["roster", str(self.run_file)]}
+        standins |= {f"workers-{zone}": ["worker", str(self.run_file), "--zone", zone]
+                     for zone in self.book.one(terms.Fleet).zones}
+        standins |= {f"proxies-{n}": ["proxy", str(self.run_file), "--group", str(n)]
+                     for n in range(self.book.one(terms.Proxies).processes)}
+        try:
+            for name, words in standins.items():
+                self.parts[name] = await self._start(name, words)
+            for part in self.parts.values():
+                await part.ready()
+            await self._start_manager()
+            self.parts["callers"] = await self._start("callers", ["callers", str(self.run_file)])
+            await self.parts["callers"].ready()
+            yield
+        finally:
+            for name in ("callers", *[name for name in self.parts if name != "callers"]):
+                if name in self.parts:
+                    await self.parts[name].end()
+            if self.manager is not None:
+                await self.manager.end()
+
+    async def _start(self, name: str, words: list[str]) -> Part:
+        record = str(self.folder / f"{name}.jsonl")
+        command = [sys.executable, "-m", "dunlinlug", "stand-in", *words, "--record", record]
+        with (self.folder / f"{name}.err").open("ab") as errors:
+            process = await trio.lowlevel.open_process(command, stdin=PIPE, stdout=PIPE, stderr=errors)
+        return Part(name, process)
+
+    async def _start_manager(self) -> None:
+        command = [*self.command, str(self.manager_file), "--until-input-closes"]
+        with (self.folder / "manager.log").open("ab") as log:
+            self.manager = Part("manager", await trio.lowlevel.open_process(command, stdin=PIPE, stderr=log))
+        self.record.write("manager", do="start")
+
+    def _see_all(self) -> None:
+        """Danger: a part that died unseen would leave records in which nothing is broken."""
+        dead = [part.name for part in [*self.parts.values(), *([self.manager] if self.manager else [])]
+                if part.process.poll() not in (None, -signal.SIGKILL)]
+        if dead:
+            raise DayFault(f"{', '.join(dead)} ended during the day")
+
+    async def _do(self, step: Step) -> None:
+        self.record.write("step", target=step.target, **{
+            key: value for key, value in step.command.items() if key != "proxies"})
+        if step.target == "workers":
+            await self.parts[f"workers-{self.zones[step.command['worker']]}"].tell(step.command)
+        elif step.target == "proxies":
+            for name, part in self.parts.items():
+                if name.startswith("proxies"):
+                    await part.tell(step.command)
+        elif step.target == "roster":
+            await self.parts["roster"].tell(step.command)
+        else:
+            await self._to_manager(step.command)
+
+    async def _to_manager(self, command: dict[str, Any]) -> None:
+        assert self.manager is not None
+        process = self.manager.process
+        self.record.write("manager", do=command["do"], size=command.get("size"))
+        match command["do"]:
+            case "kill":
+                process.kill()
+                await process.wait()
+            case "start":
+                await self.manager.end()
+                await self._start_manager()
+            case "stall":
+                process.send_signal(signal.SIGSTOP)
+            case "go on":
+                process.send_signal(signal.SIGCONT)
+            case "slow":
+                pace = self.book.one(manager_terms.Outlet).lines_per_s / command["size"]
+                self._write_manager({"channel": {"pace": f"{pace:g}/s"}})
+                process.send_signal(signal.SIGHUP)
+            case "pace":
+                self._write_manager({})
+                process.send_signal(signal.SIGHUP)
--- /dev/null
+++ b/dunlinlug/day/troubles.py
@@ -0,0 +1,150 @@
+"""Troubles to steps on a timeline: who is told what, when. Plain data in and out, drawn from one seed."""
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from dunlinlug.day.terms import Trouble
+
+
+@dataclass(frozen=True, order=True)
+class Step:
+    """At `at` seconds of the day, `target` (workers, proxies, roster, manager) is told `command`."""
+
+    at: float
+    target: str
+    command: dict[str, Any] = field(compare=False)
+
+
+@dataclass(frozen=True)
+class Cast:
+    """Whom troubles can strike: zones by worker and by proxy; `notice` is how late the roster sees a death."""
+
+    workers: Mapping[str, str]
+    proxies: Mapping[str, str]
+    notice: float
+
+
+class Troubles:
+    """Makes the steps of each trouble; the same seed and cast give the same steps."""
+
+    def __init__(self, cast: Cast, chance: Random) -> None:
+        self.cast, self.chance = cast, chance
+        self.makers: dict[str, Callable[[Trouble], Iterator[Step]]] = {
+            "drain": self.drain, "deploy": self.deploy, "flapping": self.flapping, "zone_loss": self.zone_loss,
+            "zone_cut": self.zone_cut, "reconnect": self.reconnect, "proxy_restart": self.proxy_restart,
+            "deaf": self.deaf, "readdress": self.readdress, "roster_back": self.roster_back,
+            "roster_double": self.roster_double}
+
+    def steps(self, troubles: Sequence[Trouble]) -> list[Step]:
+        made = [step for trouble in troubles for step in self._of(trouble)]
+        return sorted(made, key=lambda step: step.at)
+
+    def _of(self, trouble: Trouble) -> Iterator[Step]:
+        if trouble.kind in self.makers:
+            return self.makers[trouble.kind](trouble)
+        if trouble.kind.startswith("manager") or trouble.kind == "channel_slow":
+            return self._manager(trouble)
+        if trouble.kind.startswith("roster"):
+            return self._roster(trouble)
+        return self._mode(trouble)
+
+    def _drawn(self, among: Mapping[str, str], trouble: Trouble) -> list[str]:
+        named = [name for name, zone in among.items() if trouble.zone in ("", zone)]
+        return self.chance.sample(named, min(len(named), max(1, round(trouble.part * len(among)))))
+
+    def _mode(self, trouble: Trouble) -> Iterator[Step]:
+        """slow, silent, voiding, answers_lost: on, and off again."""
+        do, size = trouble.kind, min(trouble.size, 1.0) if trouble.kind != "slow" else trouble.size
+        for worker in self._drawn(self.cast.workers, trouble):
+            yield Step(trouble.at, "workers", {"do": do, "worker": worker, "size": size})
+            end = {"do": "slow", "size": 1.0} if do == "slow" else {"do": "well"}
+            yield Step(trouble.at + trouble.lasts, "workers", {**end, "worker": worker})
+
+    def flapping(self, trouble: Trouble) -> Iterator[Step]:
+        """Voiding on and off, `every` seconds each."""
+        for worker in self._drawn(self.cast.workers, trouble):
+            on = True
+            for n in range(max(2, round(trouble.lasts / trouble.every))):
+                do = "voiding" if on else "well"
+                yield Step(trouble.at + n * trouble.every, "workers", {"do": do, "worker": worker, "size": 1.0})
+                on = not on
+            yield Step(trouble.at + trouble.lasts, "workers", {"do": "well", "worker": worker})
+
+    def _state(self, at: float, state: str, workers: list[str], started: bool = False) -> Step:
+        return Step(at, "roster", {"do": "state", "workers": workers, "state": state, "started": started})
+
+    def drain(self, trouble: Trouble) -> Iterator[Step]:
+        """Drained for `lasts` seconds, then gone for good."""
+        struck = self._drawn(self.cast.workers, trouble)
+        yield self._state(trouble.at, "draining", struck)
+        yield self._state(trouble.at + trouble.lasts, "gone", struck)
+        for worker in struck:
+            yield Step(trouble.at + trouble.lasts, "workers", {"do": "down", "worker": worker})
+
+    def deploy(self, trouble: Trouble) -> Iterator[Step]:
+        """Batch by batch: drained `size` seconds, down for one, back cold; a batch each `every` seconds."""
+        struck = self._drawn(self.cast.workers, trouble)
+        batches = max(1, round(trouble.lasts / trouble.every))
+        for n in range(batches):
+            batch, at = struck[n::batches], trouble.at + n * trouble.every
+            if batch:
+                yield self._state(at, "draining", batch)
+                yield from self._down(at + trouble.size, at + trouble.size + 1.0, batch, 0.0)
+
+    def _down(self, at: float, back: float, workers: list[str], notice: float) -> Iterator[Step]:
+        for worker in workers:
+            yield Step(at, "workers", {"do": "down", "worker": worker})
+            yield Step(back, "workers", {"do": "back", "worker": worker})
+        if at + notice < back:
+            yield self._state(at + notice, "gone", workers)
+        yield self._state(back + 0.05, "ready", workers, started=True)
+
+    def readdress(self, trouble: Trouble) -> Iterator[Step]:
+        """Restarted at the same address within a moment, without a drain."""
+        struck = self._drawn(self.cast.workers, trouble)
+        yield from self._down(trouble.at, trouble.at + 0.3, struck, self.cast.notice)
+
+    def zone_loss(self, trouble: Trouble) -> Iterator[Step]:
+        """Every worker of a zone dies unseen, and comes back cold."""
+        zone = trouble.zone or self.chance.choice(sorted(set(self.cast.workers.values())))
+        struck = [worker for worker, at in self.cast.workers.items() if at == zone]
+        yield from self._down(trouble.at, trouble.at + trouble.lasts, struck, self.cast.notice)
+
+    def zone_cut(self, trouble: Trouble) -> Iterator[Step]:
+        """No link between a zone and the others; streams across it break."""
+        zone = trouble.zone or self.chance.choice(sorted(set(self.cast.workers.values())))
+        everyone = list(self.cast.proxies)
+        yield Step(trouble.at, "proxies", {"do": "cut", "proxies": everyone, "zone": zone})
+        yield Step(trouble.at + trouble.lasts, "proxies", {"do": "cut", "proxies": everyone, "zone": ""})
+
+    def reconnect(self, trouble: Trouble) -> Iterator[Step]:
+        yield Step(trouble.at, "proxies", {"do": "break", "proxies": self._drawn(self.cast.proxies, trouble)})
+
+    def proxy_restart(self, trouble: Trouble) -> Iterator[Step]:
+        yield Step(trouble.at, "proxies", {"do": "restart", "proxies": self._drawn(self.cast.proxies, trouble)})
+
+    def deaf(self, trouble: Trouble) -> Iterator[Step]:
+        struck = self._drawn(self.cast.proxies, trouble)
+        yield Step(trouble.at, "proxies", {"do": "deaf", "proxies": struck})
+        yield Step(trouble.at + trouble.lasts, "proxies", {"do": "hear", "proxies": struck})
+
+    def _manager(self, trouble: Trouble) -> Iterator[Step]:
+        """manager_kill and manager_stall: there again after `lasts`; channel_slow: `size` times slower."""
+        do, undo = {"manager_kill": ("kill", "start"), "manager_stall": ("stall", "go on"),
+                    "channel_slow": ("slow", "pace")}[trouble.kind]
+        yield Step(trouble.at, "manager", {"do": do, "size": trouble.size})
+        yield Step(trouble.at + trouble.lasts, "manager", {"do": undo})
+
+    def _roster(self, trouble: Trouble) -> Iterator[Step]:
+        """roster_stale, roster_gone and roster_cut_short, for `lasts`."""
+        yield Step(trouble.at, "roster", {"do": "fault", "fault": trouble.kind.removeprefix("roster_")})
+        yield Step(trouble.at + trouble.lasts, "roster", {"do": "fault", "fault": ""})
+
+    def roster_back(self, trouble: Trouble) -> Iterator[Step]:
+        yield Step(trouble.at, "roster", {"do": "index"})
+
+    def roster_double(self, trouble: Trouble) -> Iterator[Step]:
+        yield Step(trouble.at, "roster", {"do": "double", "on": True})
+        yield Step(trouble.at + trouble.lasts, "roster", {"do": "double", "on": False})
--- /dev/null
+++ b/dunlinlug/manager/__init__.py
@@ -0,0 +1,1 @@
+"""The running manager: hosts one decision module and carries out what it orders; decides nothing."""
--- /dev/null
+++ b/dunlinlug/manager/loop.py
@@ -0,0 +1,97 @@
+"""The decision loop: what arrives while it is busy forms the next batch; orders take effect in order."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Protocol
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.manager.channel import Channel
+from dunlinlug.manager.desk import Desk
+from dunlinlug.manager.parcel import Parcel
+
+
+class Decider(Protocol):
+    """The decision module, or whatever stands in its place."""
+
+    def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]: ...
+
+
+class Loop:
+    """One module, one queue of events. Other parts `tell` it and are handed orders by their kind."""
+
+    def __init__(self, module: Decider, desk: Desk, channel: Channel, deliver: Callable[[int, Parcel], None],
+                 note: Callable[..., None]) -> None:
+        self.module, self.desk, self.channel, self.deliver, self.note = module, desk, channel, deliver, note
+        self.inbox: list[face.Event] = []
+        self.come, self.put = trio.Event(), trio.Event()
+        self.timers: list[tuple[float, int]] = []
+        self.others: dict[type, Callable[[Any], None]] = {}  # by kind, who carries out orders not for proxies
+        self.batches = 0
+
+    def tell(self, event: face.Event) -> None:
+        self.inbox.append(event)
+        self.come.set()
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pace)
+            while True:
+                with trio.move_on_at(self.timers[0][0] if self.timers else float("inf")):
+                    await self.come.wait()
+                self.turn(trio.current_time())
+                await trio.sleep(0)  # whatever else is ready runs before the next turn
+
+    def turn(self, now: float) -> None:
+        """One batch: due timers and all that came, to the module; its orders to whoever they are for."""
+        events, self.inbox, self.come = self.inbox, [], trio.Event()
+        while self.timers and self.timers[0][0] <= now:
+            events.append(face.Rung(heapq.heappop(self.timers)[1]))
+        if not events:
+            return
+        self.batches += 1
+        for event in events:
+            if isinstance(event, face.Listed):
+                self.desk.listed(event.workers)
+        orders = self.module.decide(now, events)
+        parcels = self.desk.obey(orders, now)
+        for proxy, parcel in parcels.items():
+            for bound in self.channel.put(now, proxy, parcel):
+                self.note("channel.over", bound=bound, proxy=proxy, waiting=round(self.channel.waiting))
+        self._carry_out(now, orders)
+        self._explain(events, orders, parcels)
+        self.put.set()
+
+    def _carry_out(self, now: float, orders: Sequence[face.Order]) -> None:
+        for order in orders:
+            if isinstance(order, face.Wake):
+                heapq.heappush(self.timers, (now + order.after, order.token))
+            elif isinstance(order, face.Note):
+                self.note("module.note", text=order.text)
+            elif type(order) in self.others:
+                self.others[type(order)](order)
+
+    def _explain(self, events: Sequence[face.Event], orders: Sequence[face.Order], parcels: dict[int, Parcel]) -> None:
+        """One log line for each reply that orders anything: what, for how many, and the events that caused it."""
+        kinds = Counter(type(order).__name__ for order in orders if not isinstance(order, face.Wake | face.Note))
+        if not kinds:
+            return
+        causes = Counter(type(e).__name__ + (f".{e.form}" if isinstance(e, face.Listed) else "") for e in events)
+        withdrawn = {o.worker: o.out for o in orders if isinstance(o, face.Withdraw)}
+        self.note("decided", orders=dict(kinds), causes=dict(causes), proxies=len(parcels),
+                  lines=round(sum(p.lines for p in parcels.values())), waiting=round(self.channel.waiting),
+                  **({"withdrawn": withdrawn} if withdrawn else {}))
+
+    async def _pace(self) -> None:
+        while True:
+            for proxy, parcel in self.channel.due(trio.current_time()):
+                self.deliver(proxy, parcel)
+            at = self.channel.next_at()
+            if at is not None:
+                await trio.sleep_until(at)
+            else:
+                self.put = trio.Event()
+                if self.channel.next_at() is None:
+                    await self.put.wait()
--- /dev/null
+++ b/dunlinlug/manager/main.py
@@ -0,0 +1,136 @@
+"""The manager as a process: puts the parts together, starts and stops them, reloads what may change."""
+
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Balancer
+from dunlinlug.book import Book, BookFault
+from dunlinlug.manager import log, terms
+from dunlinlug.manager.channel import Channel
+from dunlinlug.manager.desk import Desk
+from dunlinlug.manager.kept import Kept, KeptFault
+from dunlinlug.manager.ledger import Ledger
+from dunlinlug.manager.loop import Decider, Loop
+from dunlinlug.manager.probes import Prober
+from dunlinlug.manager.roster import Follower
+from dunlinlug.manager.service import Service
+from dunlinlug.net import grpc, http
+from dunlinlug.roster import entries
+from dunlinlug.roster.follow import Following
+
+
+def wall_offset() -> float:
+    """The loop's clock less the wall clock: adds to a wall time to give the module's."""
+    return trio.current_time() - time.time()
+
+
+class Manager:
+    """One manager; `make` builds its decision module."""
+
+    def __init__(self, path: Path, book: Book, make: Callable[[face.Trade], Decider] = Balancer) -> None:
+        self.path, self.book = path, book
+        self.trade = terms.trade(book)
+        self.note: Any = log.logger("manager").info
+        self.kept = Kept(Path(book.one(terms.Desk).store))
+        own, outlet, hearing = book.one(terms.Desk), book.one(terms.Outlet), book.one(terms.Hearing)
+        self.epoch = self.kept.next_epoch()
+        self.desk = Desk(self.epoch, self.trade.products, self.trade.usual_retry, outlet.message_lines, own.try_aims)
+        self.channel = Channel(outlet.pace or outlet.lines_per_s, outlet.waiting_most, outlet.messages_most,
+                               outlet.messages_span)
+        self.ledger = Ledger(hearing.lines_per_s, frozenset(p.name for p in self.trade.products))
+        self.loop = Loop(make(self.trade), self.desk, self.channel, self._deliver, self.note)
+        self.service = Service(self.loop, self.desk, self.ledger, hearing.cycle, self.note)
+        self.follower = self._follower(book.one(terms.Source), Random(own.seed))
+        probing = book.one(terms.Probing)
+        self.prober = Prober(probing.path, probing.within, probing.at_once, self.loop.tell)
+
+    def _deliver(self, proxy: int, parcel: Any) -> None:
+        self.service.deliver(proxy, parcel)
+
+    def _follower(self, source: terms.Source, chance: Random) -> Follower:
+        client = http.Client(*source.address, idle_most=1)
+        state = Following(source.service, source.wait, chance.uniform)
+        return Follower(client, state, source.within, wall_offset, self.loop.tell, self.kept.put_list, self.note)
+
+    async def run(self, task_status: trio.TaskStatus[tuple[str, int]] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until SIGTERM or SIGINT; raises OSError if the port is taken."""
+        own, source = self.book.one(terms.Desk), self.book.one(terms.Source)
+        listeners = await trio.open_tcp_listeners(own.listen[1], host=own.listen[0])
+        async with trio.open_nursery() as nursery:
+            self._remember()
+            self.loop.others = {
+                face.Probe: lambda o: nursery.start_soon(self.prober.probe, o.worker),
+                face.Follow: lambda o: nursery.start_soon(self.follower.follow, False),
+                face.Fetch: lambda o: nursery.start_soon(self.follower.fetch)}
+            nursery.start_soon(self.loop.run)
+            nursery.start_soon(self.service.tell_reports)
+            if source.mode == "pushed":
+                nursery.start_soon(self.follower.follow, True)
+            nursery.start_soon(grpc.serve, listeners, self.service.answer, own.hello_within, own.quiet_most)
+            self.note("manager.ready", epoch=self.epoch, listen=f"{own.listen[0]}:{own.listen[1]}")
+            task_status.started(own.listen)
+            await self._signals()
+            nursery.cancel_scope.cancel()
+        self.note("manager.stopped", batches=self.loop.batches, most_waited=round(self.channel.most_waited))
+        self.kept.close()
+
+    def _remember(self) -> None:
+        """The list as it was held before, also an empty one: the module's first event."""
+        workers: list[face.Worker] = []
+        body = self.kept.list()
+        if body is not None:
+            try:
+                workers, _ = entries.read(body, wall_offset())
+            except entries.RosterFault as fault:
+                self.note("store.fault", why=str(fault))
+        self.loop.tell(face.Listed("kept", tuple(workers)))
+        self.note("store.read", workers=len(workers))
+
+    async def _signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take up what may change while running; a bad file, or a change that needs a restart, changes nothing."""
+        try:
+            fresh = terms.read(self.path)
+        except BookFault as fault:
+            self.note("reload.refused", why=str(fault))
+            return
+        fixed = [kind.__name__ for kind in (terms.Obligations, terms.Source) if fresh.one(kind) != self.book.one(kind)]
+        if fixed or fresh.many(terms.Ware) != self.book.many(terms.Ware):
+            self.note("reload.refused", why=f"a restart is needed for {', '.join(fixed) or 'products'}")
+            return
+        outlet = fresh.one(terms.Outlet)
+        self.channel.set_pace(outlet.pace or outlet.lines_per_s)
+        log.set_up(fresh.one(terms.Desk).log)
+        self.book = fresh
+        self.note("reload.done", pace=self.channel.pace)
+
+
+def serve(path: Path, make: Callable[[face.Trade], Decider] = Balancer) -> int:
+    """Run a manager by its file; gives the exit status: 2 for a file or store that cannot be used."""
+    try:
+        book = terms.read(path)
+        log.set_up(book.one(terms.Desk).log)
+        manager = Manager(path, book, make)
+    except (BookFault, KeptFault) as fault:
+        print(f"dunlinlug: {fault}", file=sys.stderr)
+        return 2
+    try:
+        trio.run(manager.run)
+    except OSError as fault:
+        print(f"dunlinlug: cannot serve: {fault}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/dunlinlug/manager/service.py
@@ -0,0 +1,127 @@
+"""The manager's gRPC port: ADS streams to sessions, LRS streams to the ledger."""
+
+from collections.abc import Callable
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.manager.desk import Desk
+from dunlinlug.manager.ledger import Ledger
+from dunlinlug.manager.loop import Loop
+from dunlinlug.manager.parcel import Parcel
+from dunlinlug.manager.session import Session
+from dunlinlug.net.grpc import Call, CallEnded
+from dunlinlug.rpc import Status
+from dunlinlug.xds import loads, names
+from dunlinlug.xds.stream import DeltaStream, Greeted, StreamFault
+
+MOST = 65535  # proxies that this manager ever numbers: the module's ids are below it
+
+
+class Service:
+    """Numbers proxies by their node's name, for as long as the process lives."""
+
+    def __init__(self, loop: Loop, desk: Desk, ledger: Ledger, cycle: float, note: Callable[..., None]) -> None:
+        self.loop, self.desk, self.ledger, self.cycle, self.note = loop, desk, ledger, cycle, note
+        self.numbers: dict[str, int] = {}
+        self.sessions: dict[int, Session] = {}
+
+    async def answer(self, call: Call) -> None:
+        """One call, to its end."""
+        if call.path == names.ADS:
+            await self._ads(call)
+        elif call.path == names.LRS:
+            await self._lrs(call)
+        else:
+            call.finish(Status.UNIMPLEMENTED, f"{call.path} is not served; served are {names.ADS}, {names.LRS}")
+
+    def deliver(self, proxy: int, parcel: Parcel) -> None:
+        """Hand a parcel that has left the channel to its stream; one for an earlier stream is lost."""
+        session = self.sessions.get(proxy)
+        if session is not None and parcel.ordered >= session.joined_at:
+            if parcel.routes is not None and proxy in self.desk.seats:
+                seat = self.desk.seats[proxy]
+                session.unused({self.desk.tables[tbl].name for tbl in seat.bound.values()})
+            session.owe(parcel)
+
+    async def _ads(self, call: Call) -> None:
+        stream, session = DeltaStream(), None
+        call.accept()
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    data = await call.receive()
+                    for word in stream.receive(data):
+                        if isinstance(word, Greeted):
+                            self._number(word.node)
+                        elif session is not None:
+                            session.said(word, trio.current_time())
+                    if session is None and set(stream.subscribed) == {names.ENDPOINTS, names.ROUTES}:
+                        session = self._join(call, stream)
+                        nursery.start_soon(session.send)
+        except* StreamFault as faults:
+            text = str(faults.exceptions[0])
+            self.note("proxy.fault", proxy=stream.node, why=text)
+            call.finish(Status.INVALID_ARGUMENT, text)
+        except* CallEnded as ends:
+            if session is not None:
+                self.note("proxy.ended", proxy=stream.node, why=str(ends.exceptions[0]))
+        finally:
+            if session is not None:
+                self._leave(session)
+
+    def _number(self, node: str) -> None:
+        if node not in self.numbers:
+            if len(self.numbers) >= MOST:
+                raise StreamFault("no room for more proxies")
+            self.numbers[node] = len(self.numbers)
+
+    def _join(self, call: Call, stream: DeltaStream) -> Session:
+        proxy, now = self.numbers[stream.node], trio.current_time()
+        former = self.sessions.get(proxy)
+        if former is not None:  # a new stream of the same node: the old one is dead, or about to be
+            self._leave(former)
+            former.call.finish(Status.CANCELLED, "another stream of this node has come")
+            former.call.scope.cancel()
+        held = stream.held[names.ENDPOINTS]
+        session = self.sessions[proxy] = Session(proxy, call, stream, now, self.loop.tell, self.note)
+        self.desk.join(proxy, names.OVERLAY in stream.features, held)
+        rate = stream.metadata.get("txns_per_s", 0.0)
+        self.loop.tell(face.Joined(proxy, stream.zone, float(rate) if isinstance(rate, int | float) else 0.0,
+                                   not held))
+        self.note("proxy.joined", proxy=stream.node, number=proxy, zone=stream.zone, tables_held=len(held))
+        return session
+
+    def _leave(self, session: Session) -> None:
+        if self.sessions.get(session.proxy) is session:
+            del self.sessions[session.proxy]
+            self.desk.leave(session.proxy)
+            self.loop.channel.forget(session.proxy)
+            self.ledger.forget(session.proxy)
+            self.loop.tell(face.Left(session.proxy))
+            self.note("proxy.left", proxy=session.stream.node, number=session.proxy)
+
+    async def _lrs(self, call: Call) -> None:
+        call.accept()
+        node = ""
+        while True:
+            try:
+                report = loads.read(await call.receive())
+            except loads.LoadFault as fault:
+                self.note("report.fault", proxy=node, why=str(fault))
+                call.finish(Status.INVALID_ARGUMENT, str(fault))
+                return
+            if not node:
+                node = report.node
+                call.send(loads.answer(self.cycle))
+            proxy = self.numbers.get(node)
+            if proxy in self.sessions:
+                assert proxy is not None
+                self.ledger.add(trio.current_time(), proxy, self.sessions[proxy].stream.zone, report)
+
+    async def tell_reports(self) -> None:
+        """Each cycle, what the ledger lets the module hear."""
+        while True:
+            await trio.sleep(self.cycle)
+            for event in self.ledger.take(trio.current_time()):
+                self.loop.tell(event)
--- /dev/null
+++ b/dunlinlug/manager/terms.py
@@ -0,0 +1,130 @@
+"""What the manager's INI holds, a record for each part, and the module's `Trade` made from it."""
+
+from pathlib import Path
+from typing import Literal
+
+import attrs
+
+from dunlinlug import interface as face
+from dunlinlug.book import Address, Book, BookFault, Count, PerSecond, Seconds, Share, Words, read_book
+
+
+@attrs.frozen
+class Desk:
+    """[manager]: where it stands and what it opens."""
+
+    listen: Address
+    store: str
+    zone: str = ""
+    seed: Count = Count(1)
+    hello_within: Seconds = Seconds(10.0)
+    quiet_most: Seconds = Seconds(60.0)
+    log: Literal["auto", "console", "json"] = "auto"
+    usual_retry: Count = Count(1)
+    standing: Count = Count(1)
+    admits: Literal["share", "none"] = "share"
+    try_aims: float = 0.0
+
+
+@attrs.frozen
+class Outlet:
+    """[channel]: what the module reckons with, and the pace kept now (reloadable)."""
+
+    lines_per_s: PerSecond
+    message_lines: Count
+    waiting_most: Count
+    transit: Seconds
+    transit_most: Seconds
+    messages_most: Count = Count(0)
+    messages_span: Seconds = Seconds(10.0)
+    pace: PerSecond = PerSecond(0.0)  # 0: lines_per_s
+
+
+@attrs.frozen
+class Obligations:
+    """[duties]: the figures of the five rules."""
+
+    bare: Seconds
+    drain_grace: Seconds
+    warm_after: Seconds
+    cold_share: Share
+    fall_multiple: float
+    fall_after: Seconds
+    ask_every: Seconds = Seconds(10.0)
+
+
+@attrs.frozen
+class Source:
+    """[roster]: whom to follow for the list, and how."""
+
+    address: Address
+    service: str
+    mode: Literal["pushed", "asked"] = "pushed"
+    wait: Seconds = Seconds(10.0)
+    within: Seconds = Seconds(3.0)
+
+
+@attrs.frozen
+class Probing:
+    """[probes]: whether the module may probe, and how a probe is made."""
+
+    allowed: bool = False
+    path: str = "/probe"
+    within: Seconds = Seconds(0.4)
+    at_once: Count = Count(16)
+
+
+@attrs.frozen
+class Hearing:
+    """[reports]: how often proxies report, and how much of it the module is given."""
+
+    cycle: Seconds = Seconds(0.5)
+    lines_per_s: PerSecond = PerSecond(80.0)
+    fields: Words = Words(())
+
+
+@attrs.frozen
+class Ware:
+    """[product NAME]."""
+
+    sla: Seconds
+    expiry: Seconds
+    revenue: float
+    repeats: Literal["inquiry-like", "referenced", "once-only"]
+    late_share: Share = Share(0.0)
+    group: Literal["all", "zone", "cell"] = "all"
+    window: Seconds = Seconds(0.0)
+
+    def __attrs_post_init__(self) -> None:
+        if self.expiry < self.sla:
+            raise ValueError("expiry is shorter than sla; it is the time after which a client gives up")
+
+
+SINGLE = {"manager": Desk, "channel": Outlet, "duties": Obligations, "roster": Source, "probes": Probing,
+          "reports": Hearing}
+NAMED = {"product": Ware}
+
+
+def read(path: Path) -> Book:
+    """The manager's file; raises BookFault."""
+    book = read_book(path, SINGLE, NAMED, optional=frozenset({"probes", "reports"}))
+    if not book.many(Ware):
+        raise BookFault(f"{path}:1: no [product NAME] section: at least one product is needed")
+    return book
+
+
+def trade(book: Book) -> face.Trade:
+    """What the module is told at its start."""
+    desk, outlet, duties = book.one(Desk), book.one(Outlet), book.one(Obligations)
+    source, hearing = book.one(Source), book.one(Hearing)
+    products = tuple(face.Product(name, ware.sla, ware.expiry, ware.revenue, ware.late_share, ware.repeats,
+                                  ware.group, ware.window) for name, ware in book.many(Ware).items())
+    channel = face.Channel(outlet.lines_per_s, float(outlet.message_lines), float(outlet.waiting_most),
+                           outlet.transit, outlet.transit_most, outlet.messages_most, outlet.messages_span)
+    return face.Trade(
+        seed=desk.seed, zone=desk.zone, products=products, channel=channel,
+        duties=face.Duties(duties.bare, duties.drain_grace, duties.ask_every, duties.warm_after, duties.cold_share,
+                           duties.fall_multiple, duties.fall_after),
+        must_ask=source.mode == "asked", may_probe=book.one(Probing).allowed, report_fields=hearing.fields,
+        reports_in="answers" if hearing.fields else "none", report_cycle=hearing.cycle,
+        usual_retry=desk.usual_retry, admits=desk.admits, standing=desk.standing)
--- /dev/null
+++ b/dunlinlug/net/__init__.py
@@ -0,0 +1,1 @@
+"""The thin trio layer: sockets for the protocol packages, nothing decided and nothing parsed here."""
--- /dev/null
+++ b/dunlinlug/net/grpc.py
@@ -0,0 +1,220 @@
+"""Moves the bytes of `dunlinlug.rpc` over trio streams; each link's tasks live in the nursery of `run`."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+
+import trio
+
+from dunlinlug import rpc
+
+READ = 2**16  # bytes asked of a socket at a time
+AHEAD = 256  # messages a peer may send ahead of their handling before its call is ended
+UNREAD = 2**22  # bytes left to write from which on nothing more is read: a peer must take its answers
+
+
+class CallEnded(Exception):
+    """The call is over: its status (None if it was cut) and what was said."""
+
+    def __init__(self, status: int | None, why: str) -> None:
+        super().__init__(why)
+        self.status, self.why = status, why
+
+
+class Call:
+    """One call in progress; messages are bytes."""
+
+    def __init__(self, link: "Link", stream: int, path: str) -> None:
+        self.link, self.stream, self.path = link, stream, path
+        self.inlet, self.outlet = trio.open_memory_channel[bytes](AHEAD)
+        self.ended: CallEnded | None = None
+        self.scope = trio.CancelScope()
+
+    async def receive(self) -> bytes:
+        """The next message; raises CallEnded after the last."""
+        try:
+            return await self.outlet.receive()
+        except trio.EndOfChannel:
+            raise self.ended or CallEnded(None, "the peer ended the call") from None
+
+    def send(self, message: bytes) -> None:
+        """Queue a message; ask `unsent` before piling up more."""
+        self.link.connection.send(self.stream, message)
+        self.link.flush()
+
+    def accept(self) -> None:
+        self.link.connection.accept(self.stream)
+        self.link.flush()
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that flow control or the socket holds back."""
+        return self.link.connection.unsent(self.stream) + (self.link.unwritten if self.link.writing else 0)
+
+    async def drained(self) -> None:
+        """Wait until nothing is held back any more (or the call has ended)."""
+        while self.unsent and self.ended is None:
+            await self.link.moved.wait()
+
+    def finish(self, status: rpc.Status, text: str = "") -> None:
+        self.link.connection.finish(self.stream, status, text)
+        self.link.flush()
+
+    def cancel(self) -> None:
+        self.link.connection.cancel(self.stream)
+        self.link.flush()
+
+    def end(self, status: int | None, why: str) -> None:
+        self.ended = self.ended or CallEnded(status, why)
+        self.inlet.close()
+
+
+class Link:
+    """A socket with its connection and calls."""
+
+    def __init__(self, socket: trio.abc.Stream, connection: rpc.Connection) -> None:
+        self.socket, self.connection = socket, connection
+        self.calls: dict[int, Call] = {}
+        self.wanted, self.moved = trio.Event(), trio.Event()  # something to write; something was written
+        self.unwritten, self.writing, self.heard_at = 0, False, trio.current_time()
+        self.gate: trio.Event | None = None  # set to stop reading until the event is set
+
+    def flush(self) -> None:
+        self.wanted.set()
+
+    def call(self, path: str, authority: str = "manager") -> Call:
+        stream = self.connection.call(path, authority)
+        self.calls[stream] = Call(self, stream, path)
+        self.flush()
+        return self.calls[stream]
+
+    async def run(self, answer: Callable[[Call], Awaitable[None]] | None = None, hello: float = 10.0,
+                  quiet_most: float = 60.0) -> None:
+        """Move bytes until either side closes. A peer must open a call within `hello` seconds, if we answer
+        calls, and let no more than `quiet_most` seconds pass without a byte (we ping it at a third of that)."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write)
+                nursery.start_soon(self._watch, nursery.cancel_scope, hello if answer else None, quiet_most)
+                await self._read(nursery, answer)
+                nursery.cancel_scope.cancel()
+        finally:
+            for call in list(self.calls.values()):
+                call.end(None, "the link broke")
+            with trio.move_on_after(0.5) as scope:  # a goodbye that a stuck peer does not take is not owed
+                scope.shield = True
+                self.connection.close()
+                with suppress(trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+                    await self.socket.send_all(self.connection.data_to_send())
+            await trio.aclose_forcefully(self.socket)
+
+    async def _read(self, nursery: trio.Nursery, answer: Callable[[Call], Awaitable[None]] | None) -> None:
+        while not self.connection.closed:
+            while self.unwritten > UNREAD:
+                await self.moved.wait()
+            if self.gate is not None:
+                await self.gate.wait()
+            try:
+                data = await self.socket.receive_some(READ)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            self.heard_at = trio.current_time()
+            for event in self.connection.receive(bytes(data)):
+                self._meet(event, nursery, answer)
+            self.flush()
+        await trio.sleep(0)  # Danger: a fault's goodbye must leave before the writer is ended
+        try:
+            await self.socket.send_all(self.connection.data_to_send())
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+            return
+
+    def _meet(self, event: rpc.Event, nursery: trio.Nursery,
+              answer: Callable[[Call], Awaitable[None]] | None) -> None:
+        match event:
+            case rpc.Called(stream, path) if answer is not None:
+                call = self.calls[stream] = Call(self, stream, path)
+                nursery.start_soon(self._answer, call, answer)
+            case rpc.Message(stream, data) if stream in self.calls:
+                try:
+                    self.calls[stream].inlet.send_nowait(data)
+                except trio.WouldBlock:  # Danger: a peer that floods would fill our memory
+                    self.calls[stream].finish(rpc.Status.RESOURCE_EXHAUSTED, "messages come too fast")
+                    self._over(stream, None, "flooded")
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return
+            case rpc.HalfClosed(stream):
+                self._over(stream, None, "the peer ended the call")
+            case rpc.Reset(stream, why):
+                self._over(stream, None, why)
+            case rpc.Trailers(stream, status, text):
+                self._over(stream, status, text)
+            case rpc.Closed(why):
+                for stream in list(self.calls):
+                    self._over(stream, None, why)
+
+    def _over(self, stream: int, status: int | None, why: str) -> None:
+        if stream in self.calls:
+            self.calls.pop(stream).end(status, why)
+
+    async def _answer(self, call: Call, answer: Callable[[Call], Awaitable[None]]) -> None:
+        with call.scope, suppress(CallEnded):
+            await answer(call)
+        self.connection.finish(call.stream, rpc.Status.OK if call.ended else rpc.Status.CANCELLED)
+        self._over(call.stream, None, "answered")
+        self.flush()
+
+    async def _write(self) -> None:
+        while True:
+            await self.wanted.wait()
+            self.wanted = trio.Event()
+            data = self.connection.data_to_send()
+            self.unwritten, self.writing = len(data), True
+            try:
+                if data:
+                    await self.socket.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                await trio.aclose_forcefully(self.socket)
+                return
+            finally:
+                self.unwritten, self.writing = 0, False
+                self.moved.set()
+                self.moved = trio.Event()
+
+    async def _watch(self, scope: trio.CancelScope, hello: float | None, quiet_most: float) -> None:
+        started = trio.current_time()
+        while True:
+            await trio.sleep(min(hello or quiet_most, quiet_most / 3))
+            now = trio.current_time()
+            if hello is not None and not self.calls and now >= started + hello:
+                scope.cancel()  # a client that connects and says nothing holds no place here
+            if now >= self.heard_at + quiet_most:
+                scope.cancel()
+            if now >= self.heard_at + quiet_most / 3:
+                self.connection.ping()
+                self.flush()
+
+
+async def serve(listeners: list[trio.SocketListener], answer: Callable[[Call], Awaitable[None]],
+                hello: float = 10.0, quiet_most: float = 60.0) -> None:
+    """Serve calls on these listeners until cancelled; one link's fault is that link's alone."""
+    async def one(socket: trio.SocketStream) -> None:
+        await Link(socket, rpc.Connection(client=False)).run(answer, hello, quiet_most)
+
+    await trio.serve_listeners(one, listeners)
+
+
+@asynccontextmanager
+async def dial(host: str, port: int, within: float = 2.0, quiet_most: float = 60.0) -> AsyncIterator[Link]:
+    """A client's link, for the time of the block; raises OSError if nobody answers within that many seconds."""
+    with trio.move_on_after(within) as scope:
+        socket = await trio.open_tcp_stream(host, port)
+    if scope.cancelled_caught:
+        raise TimeoutError(f"no connection to {host}:{port} within {within} s")
+    link = Link(socket, rpc.Connection(client=True))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lambda: link.run(quiet_most=quiet_most))
+        try:
+            yield link
+        finally:
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/dunlinlug/xds/names.py
@@ -0,0 +1,22 @@
+"""Names on the xDS wire, each in one place; `docs/protocol.md` tells what each extension means."""
+
+ENDPOINTS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+ROUTES = "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"
+
+ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
+LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
+
+OUT = "out"  # the ClusterLoadAssignment whose endpoints are withdrawn from every table
+ROUTE = "routes"  # the one RouteConfiguration of each proxy
+OVERLAY = "dunlinlug.out"  # client feature: the proxy applies OUT over all its tables
+NEVER_RAN = "x-never-ran"  # response header: proof that a txn was not begun
+OTHER_HOST = "envoy.retry_host_predicates.previous_hosts"
+
+TXNS, TXNS_VOIDED = "dunlinlug.txns", "dunlinlug.txns_voided"  # load metrics by product, from a proxy
+SETTLE_S = "dunlinlug.settle_s"  # load metric by worker: seconds, summed over settled tries
+LOAD = "dunlinlug.load."  # prefix of a worker's own load report
+
+
+def table_name(epoch: int, number: int) -> str:
+    """A table's resource name; the epoch keeps a restarted manager's numbers apart from its former ones."""
+    return f"{epoch}/{number}"
--- /dev/null
+++ b/tests/test_book.py
@@ -0,0 +1,57 @@
+"""INI files: every mistake names file, line, key and what would be right."""
+
+from pathlib import Path
+
+import pytest
+
+from dunlinlug.book import BookFault
+from dunlinlug.manager import terms
+
+GOOD = (Path(__file__).parent.parent / "days" / "first.ini").read_text()
+OWN = {*terms.SINGLE, *terms.NAMED}
+
+
+def manager_file(tmp_path: Path, *changes: tuple[str, str]) -> Path:
+    blocks = [block for block in GOOD.split("\n\n") if block.strip("# \n").startswith("[")]
+    text = "\n\n".join(block for block in blocks if block.split("[", 1)[1].split("]")[0].split()[0] in OWN)
+    for old, new in changes:
+        assert old in text
+        text = text.replace(old, new, 1)
+    path = tmp_path / "manager.ini"
+    path.write_text(text + "\n")
+    return path
+
+
+def test_a_good_file_gives_the_trade(tmp_path: Path) -> None:
+    trade = terms.trade(terms.read(manager_file(tmp_path)))
+    assert [product.name for product in trade.products] == ["ticket-read", "press-book"]
+    assert trade.channel.transit == pytest.approx(0.02)
+    assert (trade.duties.cold_share, trade.channel.lines_per_s, trade.products[1].window) == (0.3, 1200.0, 1.2)
+
+
+@pytest.mark.parametrize(("old", "new", "key", "right"), [
+    ("drain_grace = 3s", "drain_grace = 3", "drain_grace", "a time with its unit"),
+    ("lines_per_s = 1200/s", "lines_per_s = 1200ms", "lines_per_s", "a rate, such as"),
+    ("cold_share = 30%", "cold_share = 130%", "cold_share", "at most 100%"),
+    ("drain_grace = 3s", "drain_grase = 3s", "drain_grase", "did you mean 'drain_grace'?"),
+    ("repeats = referenced", "repeats = keyed", "repeats", "inquiry-like, referenced, once-only"),
+    ("listen = 127.0.0.1:18000", "listen = 10.0.0.1:18000", "listen", "a loopback address"),
+    ("allowed = yes", "allowed = maybe", "allowed", "yes or no"),
+    ("[reports]", "[report]", "[report]", "did you mean 'reports'?"),
+])
+def test_a_mistake_is_named_with_its_line(tmp_path: Path, old: str, new: str, key: str, right: str) -> None:
+    path = manager_file(tmp_path, (old, new))
+    line = next(n for n, text in enumerate(path.read_text().splitlines(), 1) if text.startswith(new))
+    with pytest.raises(BookFault) as caught:
+        terms.read(path)
+    said = str(caught.value)
+    assert said.startswith(f"{path}:{line}: ") and key in said and right in said and "\n" not in said
+
+
+def test_missing_and_double_and_unreadable_are_one_line_each(tmp_path: Path) -> None:
+    for change in [("bare = 4s\n", ""), ("bare = 4s\n", "bare = 4s\nbare = 5s\n"), ("expiry = 2s", "expiry = 2ms")]:
+        with pytest.raises(BookFault) as caught:
+            terms.read(manager_file(tmp_path, change))
+        assert "\n" not in str(caught.value) and "manager.ini:" in str(caught.value)
+    with pytest.raises(BookFault, match="cannot be read"):
+        terms.read(tmp_path / "none.ini")
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,97 @@
+"""gRPC over HTTP/2 without sockets: two connections talk through byte strings."""
+
+import h2.config
+import h2.connection
+import pytest
+
+from dunlinlug import rpc
+
+
+def pair() -> tuple[rpc.Connection, rpc.Connection]:
+    return rpc.Connection(client=True), rpc.Connection(client=False)
+
+
+def pass_on(source: rpc.Connection, target: rpc.Connection, step: int = 10**9) -> list[rpc.Event]:
+    data = source.data_to_send()
+    return [event for n in range(0, len(data), step) for event in target.receive(data[n:n + step])]
+
+
+def settle(client: rpc.Connection, server: rpc.Connection) -> tuple[list[rpc.Event], list[rpc.Event]]:
+    at_client: list[rpc.Event] = []
+    at_server: list[rpc.Event] = []
+    for _ in range(50):
+        at_server += pass_on(client, server)
+        at_client += pass_on(server, client)
+    return at_client, at_server
+
+
+@pytest.mark.parametrize("step", [1, 7, 10**9])
+def test_messages_arrive_whole_however_the_bytes_are_cut(step: int) -> None:
+    client, server = pair()
+    stream = client.call("/some.Service/Method", "here")
+    client.send(stream, b"abc")
+    client.send(stream, b"")
+    events = pass_on(client, server, step)
+    assert [e for e in events if not isinstance(e, rpc.Closed)] == [
+        rpc.Called(stream, "/some.Service/Method", events[0].metadata), rpc.Message(stream, b"abc"),
+        rpc.Message(stream, b"")]
+    server.accept(stream)
+    server.send(stream, b"answer")
+    server.finish(stream, rpc.Status.OK)
+    assert pass_on(server, client, step) == [rpc.Opened(stream), rpc.Message(stream, b"answer"),
+                                             rpc.Trailers(stream, 0, "")]
+
+
+def test_a_peer_with_no_window_left_holds_back_its_own_call_alone() -> None:
+    client, server = pair()
+    full, free = client.call("/a/b", "h"), client.call("/a/b", "h")
+    settle(client, server)
+    for stream in (full, free):
+        server.accept(stream)
+    server.send(full, bytes(3 * 2**20))
+    assert server.unsent(full) > 0
+    server.send(free, b"small")
+    assert server.unsent(free) == 0
+    at_client, _ = settle(client, server)
+    assert rpc.Message(free, b"small") in at_client
+    assert rpc.Message(full, bytes(3 * 2**20)) in at_client and server.unsent(full) == 0
+
+
+def test_an_oversized_message_ends_its_call_with_a_clear_status() -> None:
+    client, server = rpc.Connection(client=True), rpc.Connection(client=False, most=100)
+    big, other = client.call("/a/b", "h"), client.call("/a/b", "h")
+    client.send(big, bytes(101))
+    client.send(other, b"fine")
+    at_client, at_server = settle(client, server)
+    assert rpc.Message(other, b"fine") in at_server
+    assert [e.status for e in at_client if isinstance(e, rpc.Trailers)] == [rpc.Status.RESOURCE_EXHAUSTED]
+
+
+def test_a_wrong_content_type_is_answered_to_that_peer() -> None:
+    _, server = pair()
+    plain = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True, header_encoding="utf-8"))
+    plain.initiate_connection()
+    plain.send_headers(1, [(":method", "GET"), (":scheme", "http"), (":path", "/"), (":authority", "h")],
+                       end_stream=True)
+    assert server.receive(plain.data_to_send()) == []
+    answer = plain.receive_data(server.data_to_send())
+    assert any(dict(getattr(e, "headers", None) or ()).get(":status") == "415" for e in answer)
+
+
+def test_bytes_that_are_not_http2_close_the_connection_with_a_reason() -> None:
+    _, server = pair()
+    events = server.receive(b"GET / HTTP/1.1\r\nhost: here\r\n\r\n")
+    assert isinstance(events[0], rpc.Closed) and server.closed
+    assert server.receive(b"more") == []
+
+
+def test_a_cut_call_is_told_and_its_number_forgotten() -> None:
+    client, server = pair()
+    stream = client.call("/a/b", "h")
+    settle(client, server)
+    client.cancel(stream)
+    _, at_server = settle(client, server)
+    assert isinstance(at_server[0], rpc.Reset)
+    server.send(stream, b"too late")
+    server.finish(stream, rpc.Status.OK)
+    assert server.data_to_send() == b""
