--- a/dunlinlug/rpc/connection.py
+++ b/dunlinlug/rpc/connection.py
@@ -83,7 +83,10 @@
         call = self.calls.get(stream)
         if call is not None and not call.opened:
             call.opened = True
-            self.h2.send_headers(stream, [(":status", "200"), ("content-type", "application/grpc")])
+            try:
+                self.h2.send_headers(stream, [(":status", "200"), ("content-type", "application/grpc")])
+            except h2.exceptions.ProtocolError:
+                self.calls.pop(stream)  # it ended in the same moment
 
     def send(self, stream: int, message: bytes) -> None:
         """Queue one message; it leaves as far as the peer's windows allow."""
@@ -136,7 +139,13 @@
             self.h2.close_connection()
 
     def _drain(self, stream: int) -> None:
-        call = self.calls[stream]
+        """Danger: a call or the whole connection may have ended in this same moment; what is unsent is then lost."""
+        try:
+            self._send_queued(stream, self.calls[stream])
+        except h2.exceptions.ProtocolError:
+            self.calls.pop(stream, None)
+
+    def _send_queued(self, stream: int, call: _Call) -> None:
         while call.queue:
             room = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
             if room <= 0:
@@ -165,6 +174,7 @@
             happened = self.h2.receive_data(data)
         except h2.exceptions.ProtocolError as error:
             self.closed = True
+            self.calls.clear()
             return [said.Closed(f"not HTTP/2 as agreed: {type(error).__name__}: {error}")]
         told: list[said.Event] = []
         for event in happened:
@@ -193,6 +203,7 @@
                     self._drain(stream)
             case h2.events.ConnectionTerminated():
                 self.closed = True
+                self.calls.clear()
                 return [said.Closed(f"the peer said goodbye with code {event.error_code}")]
         return []
 
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -85,6 +85,20 @@
     assert server.receive(b"more") == []
 
 
+def test_an_answer_after_the_goodbye_is_dropped_and_harms_nothing() -> None:
+    client, server = pair()
+    streams = [client.call("/a/b", "h") for _ in range(3)]
+    settle(client, server)
+    server.accept(streams[0])
+    client.close()
+    _, at_server = settle(client, server)
+    assert isinstance(at_server[-1], rpc.Closed)
+    server.accept(streams[1])
+    server.send(streams[0], b"late")
+    server.finish(streams[0], rpc.Status.CANCELLED)
+    assert server.data_to_send() == b"" and not server.calls
+
+
 def test_a_cut_call_is_told_and_its_number_forgotten() -> None:
     client, server = pair()
     stream = client.call("/a/b", "h")
