--- /dev/null
+++ b/bench/fanout.py
@@ -0,0 +1,250 @@
+"""Fan-out: one changed line, and one whole table with its routes, to many proxies; beside a grpcio server.
+
+    python -m bench.fanout [--proxies 10,50,150,500] [--workers 100] [--rounds 40]
+
+Both servers run in a process of their own, one after the other for each size, and send the same resources to the same
+clients (four processes, which answer without applying). Told are seconds from the decision to the last answer (p50,
+p99) and milliseconds of server CPU a message. The whole path of ours is measured: orders, desk, channel (at no pace),
+sessions, h2. The grpcio server (asyncio, C core) is given its bytes ready but for the nonce.
+"""
+
+import argparse
+import asyncio
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.manager.channel import Channel
+from dunlinlug.manager.desk import Desk
+from dunlinlug.manager.session import Session
+from dunlinlug.net import grpc as own_grpc
+from dunlinlug.xds import names, render
+from dunlinlug.xds.stream import DeltaStream, Greeted
+
+CLIENTS = 4  # processes that clients are spread over, so that they are not what is measured
+PRODUCTS = (face.Product("read", 0.8, 2.0, 1.0), face.Product("book", 0.8, 2.0, 5.0))
+KINDS = ("line", "table")
+
+
+def workers(count: int) -> list[str]:
+    return [f"10.0.{n // 200}.{n % 200 + 1}:8080" for n in range(count)]
+
+
+def rounds_of(kind: str, rounds: int, proxies: int, named: list[str]) -> Iterator[list[face.Order]]:
+    """The orders of each round; table 1 is laid and bound before."""
+    for n in range(rounds):
+        if kind == "line":
+            yield [face.Share(1, named[0], 1.0 + n % 7 / 10), face.Mark(n + 10, False)]
+        else:
+            lay = [face.Share(n + 2, worker, 1.0 + n % 7 / 10) for worker in named]
+            yield [*lay, *(face.Bind(p, (0, 1), n + 2) for p in range(proxies)), face.Mark(n + 10, False)]
+
+
+def start_orders(proxies: int, named: list[str]) -> list[face.Order]:
+    return [*(face.Share(1, worker, 1.0) for worker in named), *(face.Bind(p, (0, 1), 1) for p in range(proxies)),
+            face.Mark(1, False)]
+
+
+async def ours(proxies: int, count: int, rounds: int) -> dict[str, Any]:
+    desk, sessions = Desk(1, PRODUCTS, 1, 4.0), dict[int, Session]()
+    answered: dict[int, int] = {}
+    channel = Channel(1e12, 1e12, 0, 10.0)
+
+    def tell(event: face.Event) -> None:
+        if isinstance(event, face.Answered):
+            answered[event.mark] = answered.get(event.mark, 0) + 1
+
+    async def answer(call: own_grpc.Call) -> None:
+        stream, session = DeltaStream(), None
+        call.accept()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for word in stream.receive(await call.receive()):
+                    if session is not None and not isinstance(word, Greeted):
+                        session.said(word, trio.current_time())
+                if session is None and len(stream.subscribed) == 2:
+                    number = len(sessions)
+                    session = sessions[number] = Session(number, call, stream, 0.0, tell, lambda *a, **k: None)
+                    desk.join(number, True, ())
+                    nursery.start_soon(session.send)
+
+    async def order(orders: list[face.Order], mark: int) -> float:
+        began = time.perf_counter()
+        for proxy, parcel in desk.obey(orders, trio.current_time()).items():
+            channel.put(trio.current_time(), proxy, parcel)
+        for proxy, parcel in channel.due(float("inf")):
+            sessions[proxy].owe(parcel)
+        while answered.get(mark, 0) < proxies:
+            await trio.sleep(0)
+        return time.perf_counter() - began
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(own_grpc.serve, listeners, answer)
+        print(listeners[0].socket.getsockname()[1], flush=True)
+        while len(sessions) < proxies:
+            await trio.sleep(0.01)
+        await order(start_orders(proxies, workers(count)), 1)
+        found = {}
+        for kind in KINDS:
+            spans, cpu = [], time.process_time()
+            for n, orders in enumerate(rounds_of(kind, rounds, proxies, workers(count))):
+                spans.append(await order(orders, n + 10))
+                await trio.sleep(0.002)
+            found[kind] = {"spans": spans, "cpu": time.process_time() - cpu}
+            answered.clear()
+        nursery.cancel_scope.cancel()
+    return found
+
+
+async def theirs(proxies: int, count: int, rounds: int) -> dict[str, Any]:
+    import grpc
+    from envoy.service.discovery.v3 import discovery_pb2
+
+    joined, done = 0, asyncio.Event()
+    outboxes: list[asyncio.Queue[list[tuple[str, tuple[render.Resource, ...]]]]] = []
+    left = 0
+
+    async def stream(requests: Any, context: Any) -> None:
+        nonlocal joined, left
+        outbox: asyncio.Queue[list[tuple[str, tuple[render.Resource, ...]]]] = asyncio.Queue()
+        outboxes.append(outbox)
+        joined, last = joined + 1, 0
+
+        async def send() -> None:
+            nonlocal last
+            while True:
+                for type_url, resources in await outbox.get():
+                    last += 1
+                    await context.write(render.response(type_url, resources, (), str(last), ""))
+
+        sender = asyncio.create_task(send())
+        async for data in requests:
+            request = discovery_pb2.DeltaDiscoveryRequest.FromString(data)
+            if request.response_nonce == str(last):
+                left -= 1
+                if left == 0:
+                    done.set()
+        sender.cancel()
+
+    handler = grpc.method_handlers_generic_handler(
+        "envoy.service.discovery.v3.AggregatedDiscoveryService",
+        {"DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(stream)})
+    server = grpc.aio.server()
+    server.add_generic_rpc_handlers((handler,))
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    print(port, flush=True)
+    while joined < proxies:
+        await asyncio.sleep(0.01)
+
+    async def order(responses: list[tuple[str, tuple[render.Resource, ...]]]) -> float:
+        nonlocal left
+        began = time.perf_counter()
+        left = proxies
+        done.clear()
+        for outbox in outboxes:
+            outbox.put_nowait(responses)
+        await done.wait()
+        return time.perf_counter() - began
+
+    named, found = workers(count), {}
+    for kind in KINDS:
+        sets = []
+        for n in range(rounds):  # rendered ahead: the same resources as ours, in the same order
+            name = names.table_name(1, 1 if kind == "line" else n + 2)
+            table = render.table(name, {w: 1.0 + n % 7 / 10 for w in named}, {}, {})
+            routes = render.routes((("read", name, render.Way(1)), ("book", name, render.Way(1))))
+            rest = [(names.ROUTES, (routes,))] if kind == "table" else []
+            first = [(names.ENDPOINTS, (render.withdrawn(()),))] if kind == "table" else []
+            sets.append([*first, (names.ENDPOINTS, (table,)), *rest])
+        spans, cpu = [], time.process_time()
+        for responses in sets:
+            spans.append(await order(responses))
+            await asyncio.sleep(0.002)
+        found[kind] = {"spans": spans, "cpu": time.process_time() - cpu}
+    await server.stop(0)
+    return found
+
+
+async def clients(port: int, count: int) -> None:
+    """So many proxies that answer every response at once, without applying it."""
+    from envoy.service.discovery.v3 import discovery_pb2
+
+    async def one(number: int) -> None:
+        async with own_grpc.dial("127.0.0.1", port) as link:
+            call = link.call(names.ADS)
+            for type_url in (names.ENDPOINTS, names.ROUTES):
+                request = discovery_pb2.DeltaDiscoveryRequest(type_url=type_url, resource_names_subscribe=["*"])
+                request.node.id = f"p{port}-{number}"
+                request.node.client_features.append(names.OVERLAY)
+                call.send(request.SerializeToString())
+            while True:
+                response = discovery_pb2.DeltaDiscoveryResponse.FromString(await call.receive())
+                call.send(discovery_pb2.DeltaDiscoveryRequest(
+                    type_url=response.type_url, response_nonce=response.nonce).SerializeToString())
+
+    try:
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(one, number)
+    except* own_grpc.CallEnded:
+        pass  # the server has ended
+
+
+def measure(server: str, proxies: int, count: int, rounds: int) -> dict[str, Any]:
+    me = [sys.executable, "-m", "bench.fanout"]
+    process = subprocess.Popen([*me, "--serve", server, "--proxies", str(proxies), "--workers", str(count),
+                                "--rounds", str(rounds)], stdout=subprocess.PIPE, text=True)
+    assert process.stdout is not None
+    port = process.stdout.readline().strip()
+    shares = [proxies // CLIENTS + (n < proxies % CLIENTS) for n in range(CLIENTS)]
+    peers = [subprocess.Popen([*me, "--join", port, "--proxies", str(share)]) for share in shares if share]
+    try:
+        return json.loads(process.stdout.readline())
+    finally:
+        for other in [process, *peers]:
+            other.kill()
+            other.wait()
+
+
+def told(server: str, proxies: int, kind: str, found: dict[str, Any]) -> tuple[float, float, float]:
+    spans = sorted(found[kind]["spans"])
+    p50, p99 = spans[len(spans) // 2], spans[min(len(spans) - 1, int(len(spans) * 0.99))]
+    cpu = found[kind]["cpu"] / (len(spans) * proxies)
+    print(f"{proxies:4d} proxies  {kind:5s}  {server:6s}  p50 {p50 * 1e3:8.2f} ms  p99 {p99 * 1e3:8.2f} ms  "
+          f"CPU a message {cpu * 1e3:.3f} ms", flush=True)
+    return p50, p99, cpu
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--proxies", default="10,50,150,500")
+    parser.add_argument("--workers", type=int, default=100)
+    parser.add_argument("--rounds", type=int, default=40)
+    parser.add_argument("--serve")
+    parser.add_argument("--join", type=int)
+    given = parser.parse_args()
+    if given.join:
+        trio.run(clients, given.join, int(given.proxies))
+    elif given.serve:
+        sizes = (int(given.proxies), given.workers, given.rounds)
+        found = trio.run(ours, *sizes) if given.serve == "ours" else asyncio.run(theirs(*sizes))
+        print(json.dumps(found), flush=True)
+    else:
+        for proxies in map(int, given.proxies.split(",")):
+            both = {server: measure(server, proxies, given.workers, given.rounds) for server in ("ours", "grpcio")}
+            for kind in KINDS:
+                mine, other = (told(server, proxies, kind, both[server]) for server in ("ours", "grpcio"))
+                print(f"{'':14s}{kind:5s}  ours/grpcio  p50 {mine[0] / other[0]:.2f}  p99 {mine[1] / other[1]:.2f}  "
+                      f"CPU {mine[2] / other[2]:.2f}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/loop.py
@@ -0,0 +1,116 @@
+"""The decision loop: seconds of CPU a simulated second, module and desk apart, on a clock of its own.
+
+    python -m bench.loop [--seconds 30]
+
+Proxies join, a fifth of the workers is deployed in batches, every report cycle brings what proxies met (rationed as on
+the wire), answers come a transit after the channel has let a message go. No socket: what is measured is deciding and
+rendering. Sizes are one manager's part of each deployment's large day, as `docs/design.md` gives them.
+"""
+
+import argparse
+import heapq
+import time
+from collections.abc import Iterator
+from itertools import count
+from random import Random
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Balancer
+from dunlinlug.manager.channel import Channel
+from dunlinlug.manager.desk import Desk
+
+# By name: products, proxies, workers, lines a second, lines a message, messages in 10 s, report lines a second.
+SIZES = {
+    "heredia-orders": (2, 18, 21, 1200.0, 4.0, 30, 80.0),
+    "ch-north": (3, 28, 24, 4400.0, 10.0, 0, 200.0),
+    "tbilisi-live": (2, 18, 21, 3300.0, 6.0, 20, 100.0),
+    "heredia-orders-later": (2, 60, 112, 1250.0, 4.0, 30, 80.0),
+    "ch-north-later": (3, 55, 102, 4600.0, 10.0, 0, 200.0),
+    "tbilisi-live-later": (2, 57, 88, 3400.0, 6.0, 20, 100.0),
+}
+TICK, TRANSIT, CYCLE = 0.004, 0.25, 0.5  # seconds: between batches, of a message, between reports
+
+
+class Fleet:
+    """A manager's surroundings on a simulated clock."""
+
+    def __init__(self, name: str) -> None:
+        products, self.proxies, workers, pace, head, most, self.heard = SIZES[name]
+        wares = tuple(face.Product(f"product-{k}", 0.8, 2.0, 1.0 + k) for k in range(products))
+        self.trade = face.Trade(
+            seed=1, zone="a", products=wares, admits="share", may_probe=True, standing=6,
+            channel=face.Channel(pace, head, 1.5 * pace + 400, TRANSIT, 2 * TRANSIT, most),
+            duties=face.Duties(4.7, 3.0, 10.0, 18.0, 0.2, 3.0, 2.0))
+        self.workers = [face.Worker(f"10.0.0.{n}:80", "abc"[n % 3], "", 0, "ready", 1.0, None) for n in range(workers)]
+        self.desk, self.channel = Desk(1, wares, 1, head), Channel(pace, 1e9, most, 10.0)
+        self.module, self.chance = Balancer(self.trade), Random(2)
+        self.due: list[tuple[float, int, face.Event]] = []
+        self.order, self.spent = count(), {"module": 0.0, "desk": 0.0}
+
+    def at(self, when: float, event: face.Event) -> None:
+        heapq.heappush(self.due, (when, next(self.order), event))
+
+    def script(self, seconds: float) -> None:
+        self.at(0.0, face.Listed("kept", tuple(self.workers)))
+        for proxy in range(self.proxies):
+            self.at(0.1 + proxy * 0.01, face.Joined(proxy, "abc"[proxy % 3], 5.0, True))
+        for n, worker in enumerate(self.workers[: len(self.workers) // 5]):
+            begin = 5.0 + n // 4 * 3.0
+            for when, state, since in ((begin, "draining", None), (begin + 4, "gone", None),
+                                       (begin + 5, "ready", begin + 5)):
+                self.at(when, face.Listed("changes", (face.Worker(worker.id, worker.zone, "", 0, state, 1.0, since),)))
+        for when in (n * CYCLE for n in range(4, int(seconds / CYCLE))):
+            for event in self.reports():
+                self.at(when, event)
+
+    def reports(self) -> Iterator[face.Event]:
+        for _ in range(int(self.heard * CYCLE)):
+            worker = self.chance.choice(self.workers)
+            if self.chance.random() < 0.7:
+                yield face.Met(self.chance.choice("abc"), worker.id, 12, self.chance.randrange(2), 0.2, CYCLE)
+            else:
+                yield face.Asked(self.chance.randrange(self.proxies), "product-0", 4, 0, CYCLE)
+
+    def run(self, seconds: float) -> None:
+        self.script(seconds)
+        now = 0.0
+        while now < seconds:
+            for proxy, parcel in self.channel.due(now):
+                for mark, ordered in parcel.marks:
+                    self.at(now + TRANSIT, face.Answered(proxy, mark, now + TRANSIT - ordered))
+            events = []
+            while self.due and self.due[0][0] <= now:
+                events.append(heapq.heappop(self.due)[2])
+            if events:
+                self.turn(now, events)
+            now += TICK
+
+    def turn(self, now: float, events: list[face.Event]) -> None:
+        for event in events:
+            if isinstance(event, face.Joined):
+                self.desk.join(event.proxy, True, ())
+        began = time.process_time()
+        orders = self.module.decide(now, events)
+        decided = time.process_time()
+        for proxy, parcel in self.desk.obey(orders, now).items():
+            self.channel.put(now, proxy, parcel)
+        self.spent["module"] += decided - began
+        self.spent["desk"] += time.process_time() - decided
+        for order in orders:
+            if isinstance(order, face.Wake):
+                self.at(now + order.after, face.Rung(order.token))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=30)
+    seconds = parser.parse_args().seconds
+    for name, (products, proxies, workers, *_) in SIZES.items():
+        fleet = Fleet(name)
+        fleet.run(seconds)
+        print(f"{name:22s} {products} products {proxies:3d} proxies {workers:4d} workers: CPU a simulated second "
+              f"{fleet.spent['module'] / seconds:.3f} s module, {fleet.spent['desk'] / seconds:.3f} s desk", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,75 @@
+"""Soak: a manager under load with streams breaking all the time; is its memory flat?
+
+    python -m bench.soak [--minutes 10] [--proxies 30]
+
+Plays a day made from `days/first.ini`: every 2 s half of all streams break at once, every 20 s a rolling deploy. Told
+are the manager's resident memory by minute and the verdict on the day.
+"""
+
+import argparse
+import tempfile
+from pathlib import Path
+
+import trio
+
+from dunlinlug.audit import records, rules
+from dunlinlug.day.play import Player
+
+DAY = Path(__file__).parent.parent / "days" / "first.ini"
+EVERY, ROLL = 2, 20  # seconds between breaks, and between deploys
+
+
+def day(seconds: int, proxies: int) -> str:
+    text = DAY.read_text().split("[trouble one out]")[0]
+    for old, new in (("length = 12s", f"length = {seconds}s"), ("count = 4", f"count = {proxies}"),
+                     ("waiting_most = 2000", "waiting_most = 4000"), ("messages_most = 30", "messages_most = 0")):
+        assert old in text
+        text = text.replace(old, new)
+    for at in range(3, seconds, EVERY):
+        text += f"\n[trouble break {at}]\nkind = reconnect\nat = {at}s\npart = 50%\n"
+    for at in range(5, seconds - ROLL, ROLL):
+        text += f"\n[trouble roll {at}]\nkind = deploy\nat = {at}s\nlasts = 6s\nevery = 3s\npart = 30%\nsize = 2\n"
+    return text
+
+
+def resident(pid: int) -> float:
+    """Megabytes."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024
+
+
+async def soak(seconds: int, proxies: int, folder: Path) -> None:
+    (folder / "soak.ini").write_text(day(seconds, proxies))
+    player, samples = Player(folder / "soak.ini", folder / "records"), list[float]()
+
+    async def sample() -> None:
+        while player.manager is None:
+            await trio.sleep(0.5)
+        while player.manager.process.poll() is None:
+            samples.append(resident(player.manager.process.pid))
+            if len(samples) % 6 == 1:
+                print(f"{len(samples) // 6:3d} min  {samples[-1]:7.1f} MB", flush=True)
+            await trio.sleep(10)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sample)
+        await player.play()
+        nursery.cancel_scope.cancel()
+    found = records.read(folder / "records")
+    joins = len(found.of("joined"))
+    half = samples[len(samples) // 2:]
+    print(f"{joins} joins in {seconds} s; second half: least {min(half):.1f} MB, most {max(half):.1f} MB; "
+          f"rules broken: {sorted({b.rule for b in rules.judge(found)}) or 'none'}")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--minutes", type=float, default=10)
+    parser.add_argument("--proxies", type=int, default=30)
+    given = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="dunlinlug-soak-") as folder:
+        trio.run(soak, int(given.minutes * 60), given.proxies, Path(folder))
+
+
+if __name__ == "__main__":
+    main()
--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -44,6 +44,7 @@
         self.out: set[str] = set()
         self.zones: dict[str, str] = {}
         self.seats: dict[int, Seat] = {}
+        self.users: dict[int, dict[int, None]] = {}  # by table the proxies bound to it, in the order they were
         self._start()
 
     def _start(self) -> None:
@@ -57,10 +58,13 @@
 
     def join(self, proxy: int, overlay: bool, holds: Iterable[str]) -> None:
         """A proxy's stream stands; `holds` names the tables it still has from earlier streams."""
+        self.leave(proxy)
         self.seats[proxy] = Seat(overlay, stale={name for name in holds if name != names.OUT})
 
     def leave(self, proxy: int) -> None:
         self.seats.pop(proxy, None)
+        for users in self.users.values():
+            users.pop(proxy, None)
 
     def obey(self, orders: Iterable[face.Order], now: float) -> dict[int, Parcel]:
         """Carry out the orders that concern proxies; the rest are the host's."""
@@ -94,16 +98,22 @@
                 for seat in self.seats.values():
                     if laid.name in seat.sent:
                         seat.stale.add(laid.name)
-        for proxy, seat in self.seats.items():
-            if order.tbl in seat.bound.values():
-                self._touch(proxy, 1.0)
-                self.resent.setdefault(proxy, set()).add(order.tbl)
-                if isinstance(order, face.Admit):
-                    self.rerouted.add(proxy)
+        for proxy in self.users.get(order.tbl, ()):
+            self._touch(proxy, 1.0)
+            self.resent.setdefault(proxy, set()).add(order.tbl)
+            if isinstance(order, face.Admit):
+                self.rerouted.add(proxy)
+        if isinstance(order, face.Clear):
+            self.users.pop(order.tbl, None)
 
     def _bind(self, proxy: int, products: tuple[int, ...], tbl: int) -> None:
         laid = self.tables.setdefault(tbl, Laid(names.table_name(self.epoch, tbl)))
-        self.seats[proxy].bound.update(dict.fromkeys(products, tbl))
+        seat = self.seats[proxy]
+        for used in seat.bound.values():
+            self.users.get(used, {}).pop(proxy, None)
+        seat.bound.update(dict.fromkeys(products, tbl))
+        for used in seat.bound.values():
+            self.users.setdefault(used, {})[proxy] = None
         shut = sum(worker in self.out for worker in laid.lines)
         self._touch(proxy, 1.0 + len(laid.lines) + len(laid.levels) + shut)
         self.resent.setdefault(proxy, set()).add(tbl)
--- a/dunlinlug/manager/session.py
+++ b/dunlinlug/manager/session.py
@@ -96,7 +96,8 @@
             if not done.refused and not self.refused:
                 for number, ordered in done.marks:
                     self.tell(face.Answered(self.proxy, number, now - ordered))
-        self.wake.set()
+        if self.owed is not None:
+            self.wake.set()
 
     def unused(self, used: set[str]) -> None:
         """Forget refusals of tables that the proxy is no longer to go by."""
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -48,7 +48,7 @@
     @property
     def unsent(self) -> int:
         """Bytes that flow control or the socket holds back."""
-        return self.link.connection.unsent(self.stream) + (self.link.unwritten if self.link.writing else 0)
+        return self.link.connection.unsent(self.stream) + self.link.unwritten
 
     async def drained(self) -> None:
         """Wait until nothing is held back any more (or the call has ended)."""
@@ -75,11 +75,17 @@
         self.socket, self.connection = socket, connection
         self.calls: dict[int, Call] = {}
         self.wanted, self.moved = trio.Event(), trio.Event()  # something to write; something was written
-        self.unwritten, self.writing, self.heard_at = 0, False, trio.current_time()
+        self.outgoing, self.unwritten = list[bytes](), 0  # bytes taken from the connection and not yet written
+        self.heard_at = trio.current_time()
         self.gate: trio.Event | None = None  # set to stop reading until the event is set
 
     def flush(self) -> None:
-        self.wanted.set()
+        """Take what the connection has to send; the writer is woken only if there is something."""
+        data = self.connection.data_to_send()
+        if data:
+            self.outgoing.append(data)
+            self.unwritten += len(data)
+            self.wanted.set()
 
     def call(self, path: str, authority: str = "manager") -> Call:
         stream = self.connection.call(path, authority)
@@ -103,8 +109,9 @@
             with trio.move_on_after(0.5) as scope:  # a goodbye that a stuck peer does not take is not owed
                 scope.shield = True
                 self.connection.close()
+                self.flush()
                 with suppress(trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
-                    await self.socket.send_all(self.connection.data_to_send())
+                    await self.socket.send_all(b"".join(self.outgoing))
             await trio.aclose_forcefully(self.socket)
 
     async def _read(self, nursery: trio.Nursery, answer: Callable[[Call], Awaitable[None]] | None) -> None:
@@ -123,11 +130,6 @@
             for event in self.connection.receive(bytes(data)):
                 self._meet(event, nursery, answer)
             self.flush()
-        await trio.sleep(0)  # Danger: a fault's goodbye must leave before the writer is ended
-        try:
-            await self.socket.send_all(self.connection.data_to_send())
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
-            return
 
     def _meet(self, event: rpc.Event, nursery: trio.Nursery,
               answer: Callable[[Call], Awaitable[None]] | None) -> None:
@@ -168,16 +170,14 @@
         while True:
             await self.wanted.wait()
             self.wanted = trio.Event()
-            data = self.connection.data_to_send()
-            self.unwritten, self.writing = len(data), True
+            data, self.outgoing = b"".join(self.outgoing), []
             try:
-                if data:
-                    await self.socket.send_all(data)
+                await self.socket.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 await trio.aclose_forcefully(self.socket)
                 return
             finally:
-                self.unwritten, self.writing = 0, False
+                self.unwritten -= len(data)
                 self.moved.set()
                 self.moved = trio.Event()
 
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,142 @@
+"""The small parts, each beside a plain model or its known hard cases."""
+
+import json
+from collections import defaultdict
+from random import Random
+from typing import get_args
+
+import pytest
+
+from dunlinlug import interface as face
+from dunlinlug.day.terms import Kind, Trouble
+from dunlinlug.day.troubles import Cast, Troubles
+from dunlinlug.manager.ledger import Ledger
+from dunlinlug.roster import entries
+from dunlinlug.roster.follow import FIRST, MOST, Following
+from dunlinlug.standin.floor import Floor, Machine, Repeats
+from dunlinlug.xds.loads import AtWorker, LoadFault, Loads, read, write
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_ledger_loses_nothing_and_keeps_its_rate(seed: int) -> None:
+    chance, ledger = Random(seed), Ledger(20.0, frozenset({"read"}))
+    reported: dict[tuple[str, str], int] = defaultdict(int)
+    told: dict[tuple[str, str], int] = defaultdict(int)
+    given, now = list[tuple[float, int]](), 0.0
+    for _ in range(100):
+        now += chance.uniform(0.05, 0.5)
+        proxy, zone = chance.randrange(3), chance.choice("ab")
+        report = Loads(f"p{proxy}", zone, 0.5)
+        for worker in chance.sample("wxyz", 2):
+            tries = chance.randint(1, 9)
+            report.workers[worker] = AtWorker(tries, 0, 0.1 * tries)
+            reported[zone, worker] += tries
+        report.products["read"] = (3, 1)
+        reported["came", str(proxy)] += 3
+        ledger.add(now, proxy, zone, report)
+        events = ledger.take(now)
+        given.append((now, len(events)))
+        for event in events:
+            match event:
+                case face.Met(zone=where, worker=worker, tries=n, took=took):
+                    told[where, worker] += n
+                    assert took == pytest.approx(0.1)
+                case face.Asked(proxy=who, txns=n):
+                    told["came", str(who)] += n
+    for _ in range(100):
+        now += 1.0
+        for event in ledger.take(now):
+            if isinstance(event, face.Met):
+                told[event.zone, event.worker] += event.tries
+            elif isinstance(event, face.Asked):
+                told["came", str(event.proxy)] += event.txns
+    assert told == reported
+    for begin, _ in given:
+        assert sum(n for at, n in given if begin <= at < begin + 1.0) <= 2 * 20 + 1
+
+
+def test_load_reports_come_back_as_they_were_written() -> None:
+    loads = Loads("p1", "north", 0.5, {"127.0.0.1:80": AtWorker(9, 2, 1.4, {"queue": 3.0, "service_s": 0.2})},
+                  {"read": (11, 2)})
+    assert read(write(loads, greeting=True)) == loads
+    with pytest.raises(LoadFault):
+        read(b"\xff\xff")
+
+
+def worker(n: int, state: str = "ready", since: float | None = None) -> face.Worker:
+    return face.Worker(f"127.0.0.1:{n}", "north", "std", 3, state, 1.25, since)
+
+
+def test_the_roster_body_comes_back_and_an_address_belongs_to_its_last_start() -> None:
+    listed = [worker(1), worker(2, "draining", 50.0), worker(3, "gone")]
+    found, double = entries.read(entries.write(listed), 0.0)
+    assert found == listed[:2] and double == []
+    found, _ = entries.read(entries.write([worker(2, since=1000.0)]), -990.0)
+    assert found[0].since == pytest.approx(10.0)
+    rows = json.loads(entries.write([worker(1, "draining", 5.0)])) + json.loads(entries.write([worker(1, since=9.0)]))
+    for order in (rows, rows[::-1]):
+        found, double = entries.read(json.dumps(order).encode(), 0.0)
+        assert [w.state for w in found] == ["ready"] and double == ["127.0.0.1:1"]
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"[1]", b'[{"Service": {"Address": "a"}}]',
+                                  entries.write([worker(1), worker(2)])[:-40]])
+def test_a_body_that_is_no_list_is_refused_whole(body: bytes) -> None:
+    with pytest.raises(entries.RosterFault):
+        entries.read(body, 0.0)
+
+
+def test_following_blocks_on_the_index_starts_over_on_a_lower_one_and_waits_longer_each_time() -> None:
+    following = Following("nodes", 2.0, Random(1).uniform)
+    assert following.query() == "/v1/health/service/nodes"
+    assert following.came("7") and following.query().endswith("?index=7&wait=2000ms")
+    assert not following.came("7")
+    assert following.came("3") and "index" not in following.query(), "a lower index starts over"
+    assert following.came("not a number") and "index" not in following.query()
+    waits = [following.failed() for _ in range(12)]
+    assert waits[0] <= FIRST and all(MOST / 2 <= wait <= MOST for wait in waits[7:])
+    following.came("9")
+    assert following.failed() <= FIRST
+
+
+MACHINE = Machine(2, 1.0, 3, 0.2, 10.0, 3.0, 2.0)
+
+
+def test_a_floor_serves_in_turn_declines_when_full_and_falls_only_when_cold_and_pushed() -> None:
+    warm = Floor(MACHINE)
+    assert [warm.arrive(0.0, 1.0, "p") for _ in range(6)] == [1.0, 1.0, 2.0, 2.0, 3.0, None]
+    assert not warm.fallen and warm.held(0.5) == 3 and warm.held(1.5) == 1
+    cold = Floor(MACHINE, started=0.0)
+    assert cold.capacity(0.0) == pytest.approx(0.4) and cold.capacity(5.0) == pytest.approx(1.2)
+    assert cold.arrive(0.0, 1.0, "p") == pytest.approx(5.0), "a fifth of its speed"
+    cold.arrive(0.1, 1.3, "q")
+    assert not cold.fallen, "2.3 of 3 x 0.4 x 2"
+    cold.arrive(0.2, 0.5, "q")
+    assert cold.fallen and {source for _, _, source in cold.brought(0.2)} == {"p", "q"}
+    cold.start(100.0)
+    assert not cold.fallen
+
+
+def test_marks_against_repeats_hold_for_their_window_from_the_first() -> None:
+    marks = Repeats()
+    assert marks.first("a", 0.0, 1.2) and not marks.first("a", 1.1, 1.2) and marks.first("a", 1.3, 1.2)
+
+
+CAST = Cast({f"w{n}": "abc"[n % 3] for n in range(12)}, {f"p{n}": "abc"[n % 3] for n in range(6)}, 1.5)
+
+
+@pytest.mark.parametrize("kind", get_args(Kind))
+def test_every_trouble_ends_what_it_began(kind: str) -> None:
+    trouble = Trouble(kind=kind, at=2.0, lasts=6.0, part=0.25, size=2.0, every=1.0)  # type: ignore[arg-type]
+    steps = Troubles(CAST, Random(3)).steps([trouble])
+    again = Troubles(CAST, Random(3)).steps([trouble])
+    assert [(s.at, s.target, s.command) for s in steps] == [(s.at, s.target, s.command) for s in again]
+    assert steps and steps[0].at == 2.0 and [s.at for s in steps] == sorted(s.at for s in steps)
+    last: dict[tuple[str, str], str] = {}
+    for step in steps:
+        for name in step.command.get("workers") or [step.command.get("worker", "")]:
+            last[step.target, name] = step.command.get("state") or step.command.get("fault") or step.command["do"]
+    ends = {"workers": {"well", "back", "down"} if kind == "drain" else {"well", "back", "slow"},
+            "roster": {"gone"} if kind == "drain" else {"ready", "fault", "index", "double"},
+            "proxies": {"cut", "break", "restart", "hear"}, "manager": {"start", "go on", "pace"}}
+    assert all(state in ends[target] for (target, _), state in last.items()), last
