A wall clock set back makes no worker fresh; a mistake met by one peer ends its link alone

Starts were reckoned anew from the wall clock at each answer: set back, it made the whole fleet look cold. They are reckoned once for each start. A roster without a usable index was asked in a tight loop; that is a failure now, and answers are spaced. A reload said done for changes it had not taken up; it names them and refuses. Idle connections over the bound leaked.

--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -3,11 +3,13 @@
 import signal
 import sys
 import time
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any
 
+import attrs
 import trio
 
 from dunlinlug import interface as face
@@ -74,7 +76,8 @@
             nursery.start_soon(self.service.tell_reports)
             if source.mode == "pushed":
                 nursery.start_soon(self.follower.follow, True)
-            nursery.start_soon(grpc.serve, listeners, self.service.answer, own.hello_within, own.quiet_most)
+            nursery.start_soon(grpc.serve, listeners, self.service.answer, own.hello_within, own.quiet_most,
+                               self._link_fault)
             self.note("manager.ready", epoch=self.epoch, listen=f"{own.listen[0]}:{own.listen[1]}")
             task_status.started(listeners[0].socket.getsockname()[:2])
             await self._signals()
@@ -101,6 +104,21 @@
                     return
                 self._reload()
 
+    def _link_fault(self, error: Exception) -> None:
+        """A mistake of ours met by one peer: its link has ended, the others go on."""
+        self.note("link.fault", why="".join(traceback.format_exception(error))[-2000:])
+
+    def _fixed(self, fresh: Book) -> list[str]:
+        """The sections with a change that only a restart can take up: all but the channel's pace and the log."""
+        before, found = self.book, []
+        for section, kind in terms.SINGLE.items():
+            old: Any = before.one(kind)
+            new: Any = fresh.one(kind)
+            free = {"pace"} if kind is terms.Outlet else {"log"} if kind is terms.Desk else set()
+            if attrs.evolve(new, **{key: getattr(old, key) for key in free}) != old:
+                found.append(f"[{section}]")
+        return found + (["[product]"] if fresh.many(terms.Ware) != before.many(terms.Ware) else [])
+
     def _reload(self) -> None:
         """Take up what may change while running; a bad file, or a change that needs a restart, changes nothing."""
         try:
@@ -108,9 +126,9 @@
         except BookFault as fault:
             self.note("reload.refused", why=str(fault))
             return
-        fixed = [kind.__name__ for kind in (terms.Obligations, terms.Source) if fresh.one(kind) != self.book.one(kind)]
-        if fixed or fresh.many(terms.Ware) != self.book.many(terms.Ware):
-            self.note("reload.refused", why=f"a restart is needed for {', '.join(fixed) or 'products'}")
+        fixed = self._fixed(fresh)
+        if fixed:
+            self.note("reload.refused", why=f"a restart is needed for what changed in {', '.join(fixed)}")
             return
         outlet = fresh.one(terms.Outlet)
         self.channel.set_pace(trio.current_time(), outlet.pace or outlet.lines_per_s)
--- a/dunlinlug/manager/roster.py
+++ b/dunlinlug/manager/roster.py
@@ -8,7 +8,7 @@
 from dunlinlug import interface as face
 from dunlinlug.net import http
 from dunlinlug.roster import entries
-from dunlinlug.roster.follow import INDEX, Following
+from dunlinlug.roster.follow import BETWEEN, INDEX, Following
 
 
 class RosterFault(Exception):
@@ -23,6 +23,7 @@
         self.client, self.state, self.within, self.offset = client, state, within, wall_offset
         self.tell, self.keep, self.note = tell, keep, note
         self.known: dict[str, face.Worker] | None = None
+        self.anchors: dict[str, tuple[float, float]] = {}  # by worker: its start as told, and on our clock
         self.failing = False
 
     async def follow(self, patient: bool) -> None:
@@ -59,35 +60,41 @@
         if reply is None or reply.status != 200:
             raise RosterFault("no answer in time" if reply is None else f"answered with status {reply.status}")
         try:
-            workers, double = entries.read(reply.body, self.offset())
-        except entries.RosterFault as fault:
+            workers, double = entries.read(reply.body, 0.0)
+            fresh = self.state.came(reply.headers.get(INDEX))
+        except (entries.RosterFault, ValueError) as fault:
             raise RosterFault(str(fault)) from None
         if self.failing:
             self.note("roster.back")
         self.failing = False
         if double:
             self.note("roster.double", workers=double)
-        if self.state.came(reply.headers.get(INDEX)):
+        if fresh:
             self._news(workers)
+        await trio.sleep(BETWEEN)
 
-    def _news(self, workers: list[face.Worker]) -> None:
-        """The first list whole, then what changed; an entry that is missing now is gone."""
-        offset, known = self.offset(), {worker.id: worker for worker in workers}
-        self.keep(entries.write(replace(w, since=None if w.since is None else w.since - offset) for w in workers))
+    def _news(self, listed: list[face.Worker]) -> None:
+        """The first list whole, then what changed; an entry that is missing now is gone. Starts are wall time."""
+        self.keep(entries.write(listed))
+        workers = [self._anchored(worker) for worker in listed]
+        known = {worker.id: worker for worker in workers}
         if self.known is None:
             self.tell(face.Listed("whole", tuple(workers)))
         else:
-            changed = [w for w in workers if not _same(w, self.known.get(w.id))]
+            changed = [w for w in workers if w != self.known.get(w.id)]
             gone = [replace(w, state="gone") for key, w in self.known.items() if key not in known]
             if changed or gone:
                 self.tell(face.Listed("changes", (*changed, *gone)))
                 self.note("roster.news", changed=[f"{w.id} {w.state}" for w in (*changed, *gone)])
         self.known = known
 
-
-def _same(worker: face.Worker, before: face.Worker | None) -> bool:
-    """Equal but for the wall clock's wander against ours, which moves starts by less than a hundredth."""
-    if before is None or (worker.since is None) != (before.since is None):
-        return False
-    near = worker.since is None or before.since is None or abs(worker.since - before.since) < 0.01
-    return near and replace(worker, since=None) == replace(before, since=None)
+    def _anchored(self, worker: face.Worker) -> face.Worker:
+        """The start on our clock, reckoned once for each start. Danger: a wall clock set back would otherwise make
+        every start look fresh, and the whole fleet cold."""
+        if worker.since is None:
+            return worker
+        wall, since = self.anchors.get(worker.id, (None, 0.0))
+        if wall != worker.since:
+            since = worker.since + self.offset()
+            self.anchors[worker.id] = (worker.since, since)
+        return replace(worker, since=since)
--- a/dunlinlug/manager/service.py
+++ b/dunlinlug/manager/service.py
@@ -41,7 +41,7 @@
         if session is not None and parcel.ordered >= session.joined_at:
             if parcel.routes is not None and proxy in self.desk.seats:
                 seat = self.desk.seats[proxy]
-                session.unused({self.desk.tables[tbl].name for tbl in seat.bound.values()})
+                session.unused({names.table_name(self.desk.epoch, tbl) for tbl in seat.bound.values()})
             session.owe(parcel)
 
     async def _ads(self, call: Call) -> None:
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -196,10 +196,17 @@
 
 
 async def serve(listeners: list[trio.SocketListener], answer: Callable[[Call], Awaitable[None]],
-                hello: float = 10.0, quiet_most: float = 60.0) -> None:
-    """Serve calls on these listeners until cancelled; one link's fault is that link's alone."""
+                hello: float = 10.0, quiet_most: float = 60.0,
+                fault: Callable[[Exception], None] | None = None) -> None:
+    """Serve calls on these listeners until cancelled. What goes wrong in a link ends that link and is told to
+    `fault`; without it, it ends the serving."""
     async def one(socket: trio.SocketStream) -> None:
-        await Link(socket, rpc.Connection(client=False)).run(answer, hello, quiet_most)
+        try:
+            await Link(socket, rpc.Connection(client=False)).run(answer, hello, quiet_most)
+        except Exception as error:
+            if fault is None:
+                raise
+            fault(error)
 
     await trio.serve_listeners(one, listeners)
 
--- a/dunlinlug/net/http.py
+++ b/dunlinlug/net/http.py
@@ -128,7 +128,7 @@
 
     def __init__(self, host: str, port: int, idle_most: int = 64) -> None:
         self.host, self.port = host, port
-        self.idle: deque[tuple[trio.SocketStream, h11.Connection]] = deque(maxlen=idle_most)
+        self.idle_most, self.idle = idle_most, deque[tuple[trio.SocketStream, h11.Connection]]()
 
     async def ask(self, method: str, path: str, headers: Mapping[str, str] | None = None, body: bytes = b"") -> Reply:
         """One exchange; put a cancel scope round it for its bound. Raises HttpFault."""
@@ -147,6 +147,7 @@
                 await trio.aclose_forcefully(stream)
         if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
             connection.start_next_cycle()
+        if connection.our_state is h11.IDLE and len(self.idle) < self.idle_most:
             self.idle.append((stream, connection))
         else:
             await trio.aclose_forcefully(stream)
--- a/dunlinlug/roster/follow.py
+++ b/dunlinlug/roster/follow.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 FIRST, MOST = 0.25, 10.0  # seconds to wait after a first failure, doubled up to the most: Consul's clients' range
+BETWEEN = 0.05  # seconds from an answer to the next query at least: a roster that does not block is not hammered
 INDEX = "x-consul-index"
 
 
@@ -19,13 +20,15 @@
         return f"/v1/health/service/{self.service}{blocking}"
 
     def came(self, index: str | None) -> bool:
-        """Take an answer's index; tells whether it may hold news. A lower index starts over from nothing."""
-        self.failures = 0
-        number = int(index) if index is not None and index.isdigit() else 0
-        before, self.index = self.index, max(number, 0)
-        if number < before:  # Danger: a roster that was restored would otherwise be waited on for ever
-            self.index = 0
-        return not before or number != before
+        """Take an answer's index; tells whether it may hold news. A lower index starts over from nothing.
+
+        Raises ValueError for an answer without a whole index above 0: nothing could be waited for.
+        """
+        if index is None or not index.isdigit() or not int(index):
+            raise ValueError(f"the index is {index!r}, not a whole number above 0")
+        number, before, self.failures = int(index), self.index, 0
+        self.index = number if number >= before else 0  # Danger: a restored roster would be waited on for ever
+        return number != before
 
     def failed(self) -> float:
         """Seconds to wait before the next request, growing and drawn so that followers spread."""
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -1,6 +1,8 @@
 """The running manager met over sockets: what goes wrong with one peer stays with that peer."""
 
 import threading
+import time
+from dataclasses import replace
 from pathlib import Path
 
 import grpc as outside
@@ -166,6 +168,36 @@
         assert len(run.said("roster.failed")) == 1 and run.said("roster.back")
 
 
+async def test_a_wall_clock_set_back_makes_no_worker_fresh(tmp_path: Path) -> None:
+    async with running(tmp_path) as run, peer(run, "p0") as proxy:
+        run.roster.workers[5] = replace(WORKERS[5], since=1000.0)
+        run.roster.tell()
+        await until(lambda: bool(run.manager.follower.anchors))
+        fleet = run.manager.loop.module.fleet  # type: ignore[attr-defined]
+        await proxy.until(bound)
+        run.manager.follower.offset = lambda: trio.current_time() - time.time() + 3600.0
+        run.roster.tell(w0="draining")
+        await proxy.until(lambda h: WORKERS[0].id in h.out)
+        assert run.said("roster.news")[-1]["changed"] == [f"{WORKERS[0].id} draining"]
+        assert fleet.since[fleet.index[WORKERS[5].id]] < trio.current_time() - 3600
+
+
+async def test_our_own_mistake_with_one_peer_ends_that_link_alone(tmp_path: Path) -> None:
+    async with running(tmp_path) as run, peer(run, "p0") as proxy:
+        await proxy.until(bound)
+        run.manager.service.numbers = None  # type: ignore[assignment]
+        async with grpc.dial(*run.address) as other:
+            call = other.call(names.ADS)
+            request = discovery_pb2.DeltaDiscoveryRequest(type_url=names.ROUTES)
+            request.node.id = "p1"
+            call.send(request.SerializeToString())
+            with trio.fail_after(5.0), pytest.raises(grpc.CallEnded):
+                await call.receive()
+        run.roster.tell(w1="draining")
+        await proxy.until(lambda h: WORKERS[1].id in h.out)
+        assert "TypeError" in run.said("link.fault")[0]["why"]
+
+
 async def test_the_list_outlives_the_manager_and_the_store_has_one_writer(tmp_path: Path) -> None:
     async with running(tmp_path) as run, peer(run, "p0") as proxy:
         await proxy.until(bound)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -92,7 +92,9 @@
     assert following.came("7") and following.query().endswith("?index=7&wait=2000ms")
     assert not following.came("7")
     assert following.came("3") and "index" not in following.query(), "a lower index starts over"
-    assert following.came("not a number") and "index" not in following.query()
+    for wrong in (None, "", "0", "-4", "soon"):
+        with pytest.raises(ValueError, match="not a whole number"):
+            following.came(wrong)
     waits = [following.failed() for _ in range(12)]
     assert waits[0] <= FIRST and all(MOST / 2 <= wait <= MOST for wait in waits[7:])
     following.came("9")
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -85,6 +85,13 @@
     assert server.receive(b"more") == []
 
 
+def test_an_oversized_frame_closes_the_connection_with_a_reason() -> None:
+    client, server = pair()
+    settle(client, server)
+    events = server.receive(bytes([0x10, 0, 0]) + bytes([0, 0]) + bytes([0, 0, 0, 1]) + bytes(100))  # a frame of 2**20 bytes
+    assert isinstance(events[0], rpc.Closed) and "FrameTooLarge" in events[0].why
+
+
 def test_an_answer_after_the_goodbye_is_dropped_and_harms_nothing() -> None:
     client, server = pair()
     streams = [client.call("/a/b", "h") for _ in range(3)]
