--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -88,7 +88,7 @@
 def test_an_oversized_frame_closes_the_connection_with_a_reason() -> None:
     client, server = pair()
     settle(client, server)
-    events = server.receive(bytes([0x10, 0, 0]) + bytes([0, 0]) + bytes([0, 0, 0, 1]) + bytes(100))  # a frame of 2**20 bytes
+    events = server.receive(bytes([0x10, 0, 0]) + bytes([0, 0]) + bytes([0, 0, 0, 1]) + bytes(2**20))
     assert isinstance(events[0], rpc.Closed) and "FrameTooLarge" in events[0].why
 
 
