--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -29,6 +29,7 @@
     bound: dict[int, int] = field(default_factory=dict)
     sent: set[str] = field(default_factory=set)
     stale: set[str] = field(default_factory=set)  # tables to be taken away with the next message
+    out_version: str = ""  # of OUT as last sent on this stream
 
 
 class Desk:
@@ -114,7 +115,7 @@
         seat.bound.update(dict.fromkeys(products, tbl))
         for used in seat.bound.values():
             self.users.setdefault(used, {})[proxy] = None
-        shut = sum(worker in self.out for worker in laid.lines)
+        shut = sum(worker in laid.lines for worker in self.out)
         self._touch(proxy, 1.0 + len(laid.lines) + len(laid.levels) + shut)
         self.resent.setdefault(proxy, set()).add(tbl)
         self.rerouted.add(proxy)
@@ -140,8 +141,8 @@
         for proxy, lines in self.touched.items():
             seat, parcel = self.seats[proxy], Parcel(ordered=now)
             parcel.lines = lines + self.message_lines + (mark is not None)
-            if shut is not None and proxy in self.reshut and seat.overlay:
-                parcel.tables[names.OUT] = shut
+            if shut is not None and proxy in self.reshut and seat.overlay and seat.out_version != shut.version:
+                seat.out_version, parcel.tables[names.OUT] = shut.version, shut
             for tbl in sorted(self.resent.get(proxy, ())):
                 if tbl in self.tables and tbl in seat.bound.values():
                     key = (tbl, seat.overlay)
--- a/dunlinlug/manager/session.py
+++ b/dunlinlug/manager/session.py
@@ -44,18 +44,25 @@
             self.owed = parcel
         else:
             self.owed.merge(parcel)
-        self.wake.set()
+        self._push()
+
+    def _push(self) -> None:
+        """Send what is owed if the peer has taken what went before; else it waits, and what comes is merged."""
+        if self.owed is None or len(self.flights) >= AHEAD:
+            return
+        if self.call.unsent:
+            self.wake.set()
+            return
+        parcel, self.owed = self.owed, None
+        self._send(parcel)
 
     async def send(self) -> None:
-        """Send what is owed as the peer takes it, for as long as the stream stands."""
+        """Push again whenever the peer has taken what was held back, for as long as the stream stands."""
         while True:
-            while self.owed is None or len(self.flights) >= AHEAD:
-                self.wake = trio.Event()
-                await self.wake.wait()
+            await self.wake.wait()
+            self.wake = trio.Event()
             await self.call.drained()
-            parcel, self.owed = self.owed, None
-            if parcel is not None:
-                self._send(parcel)
+            self._push()
 
     def _send(self, parcel: Parcel) -> None:
         tables = tuple(r for r in parcel.tables.values() if self.refused.get(r.name) != r.version)
@@ -96,8 +103,7 @@
             if not done.refused and not self.refused:
                 for number, ordered in done.marks:
                     self.tell(face.Answered(self.proxy, number, now - ordered))
-        if self.owed is not None:
-            self.wake.set()
+        self._push()
 
     def unused(self, used: set[str]) -> None:
         """Forget refusals of tables that the proxy is no longer to go by."""
