A guard judges every order before a proxy sees it; refusals are told, kept and explained

The users' first wish: no careless table reaches a proxy unjudged. dunlinlug/guard/ judges each reply against what every proxy may hold, the list with ages, demand heard and capacity as read; what it refuses is left out, the rest passes, the module hears of it and goes by what is.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -241,6 +241,7 @@
         self.out, self.probing, self.numbers = set[int](), set[int](), set[int]()  # the last: of tables laid
         self.ask_at, self.ask_wait = -inf if trade.must_ask else inf, self.ASK_WAIT
         self.noted, self.told = dict[int, float](), False
+        self.barred: dict[int, float] = {}  # by worker, until when what was refused of it stays so
 
     # Events: what is known.
 
@@ -290,6 +291,32 @@
                     self.health.start(i, share, now + pause)
             case face.Asked(product=name) if name in self.gate.came:
                 self.gate.came[name] += event.txns
+            case face.Refused(order=order):
+                self._refused(now, order)
+
+    def _refused(self, now: float, order: face.Order) -> None:
+        """The order was not carried out: go by what is, and leave it for the time of a raise."""
+        tables = [*self._in_use(), *self.current.values(), *self.starters, *self.retired]
+        tables += [table for change in self.changes.values() for table in (change.table, change.old)]
+        match order:
+            case face.Share(tbl, worker) if worker in self.fleet.index:
+                i = self.fleet.index[worker]
+                self.barred[i] = now + self.RAISE
+                for table in tables:
+                    if table.number == tbl:
+                        table.shares.pop(i, None), table.parts.pop(i, None)
+            case face.Bind(proxy, products, tbl) if proxy in self.proxies:
+                holds, self.proxies[proxy].wait = self.proxies[proxy].holds, now + self.RAISE
+                for k in products:
+                    holds[k] = [entry for entry in holds.get(k, []) if entry[0].number != tbl]
+                    if not holds[k]:
+                        del holds[k]
+            case face.Withdraw(worker, out) if worker in self.fleet.index:
+                i = self.fleet.index[worker]
+                (self.out.discard if out else self.out.add)(i)
+                self.barred[i] = now + self.RAISE
+            case face.Clear(tbl):
+                self.numbers.add(tbl)  # Danger: a number in use would be given out again
 
     def _answered(self, proxy: int, passed: set[int]) -> None:
         for change in self.changes.values():
@@ -343,7 +370,8 @@
             if ready and ready <= out:
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
                 shares = [min(s, self.ONLY_COLD * self.all_in) if current else s for s in shares]
-        wanted = {i: w * parts[i] for i, w in weight.items()}
+        self.barred = {i: at for i, at in self.barred.items() if at > now}
+        wanted = {i: w * parts[i] for i, w in weight.items() if i not in self.barred}
         return Wanted(wanted, parts, [(share, retry) for share in shares], out)
 
     def _in_use(self) -> list[Table]:
@@ -409,7 +437,7 @@
             cost = {p: 1.0 for p, proxy in self.proxies.items() if len(proxy.holds) < self.products
                     or any(i in held[-1][0].shares for held in proxy.holds.values())}
             ruled = i in wanted.out and (i not in wanted.parts or health.cap[i] > 0.0)
-            if spend(cost, not ruled, inf if ruled else 4 * self.TURN):
+            if i not in self.barred and spend(cost, not ruled, inf if ruled else 4 * self.TURN):
                 orders.append(face.Withdraw(self.fleet.ids[i], i in wanted.out))
                 self.out ^= {i}
         users: dict[tuple[int, Table], dict[int, float]] = {}
@@ -464,6 +492,7 @@
                     other = tuple(k for k, current in self.current.items() if current is table
                                   and (k not in proxy.holds or proxy.holds[k][-1][0] is not table))
                     begun = crowded and proxy.bound_at == now  # with a small table in this very reply
+                    begun = begun or proxy.wait > now  # its last bind was refused
                     if other and joiners != (other[0] in proxy.holds) and not begun:
                         bind(p, other, table, 1 if joiners else 3, (3 if crowded else 2) * self.TURN)
         held = self._in_use() if self.retired else []
@@ -519,7 +548,7 @@
     def _wake(self, now: float, orders: list[face.Order], wanted: Wanted) -> None:
         """One timer at the next time at which something is due of itself."""
         busy = self.changes or self.account.sent or self.retired or wanted.out ^ self.out
-        due = [now + self.BEAT if busy else inf, self.ask_at]
+        due = [now + self.BEAT if busy else inf, self.ask_at, *self.barred.values()]
         for i in wanted.parts:
             age = now - self.fleet.since[i]
             due.append(inf if self.health.cap[i] else max(self.health.due[i], now + self.BEAT))
--- a/dunlinlug/day/terms.py
+++ b/dunlinlug/day/terms.py
@@ -102,7 +102,7 @@
 
 SINGLE = {"day": Day, "fleet": Fleet, "proxies": Proxies, "load": Load, **manager_terms.SINGLE}
 NAMED = {"mix": Mix, "trouble": Trouble, "worker": WorkerPlace, "proxy": ProxyPlace, **manager_terms.NAMED}
-OPTIONAL = frozenset({"probes", "reports"})
+OPTIONAL = manager_terms.OPTIONAL
 
 
 def read(path: Path) -> Book:
--- a/dunlinlug/interface.py
+++ b/dunlinlug/interface.py
@@ -170,9 +170,6 @@
     took: float
 
 
-Event = Listed | Rung | Probed | PeerSaid | Joined | Left | Met | Asked | Given | Stored | Answered
-
-
 @dataclass(frozen=True)
 class Share:
     """Set one line of a table; weight 0 takes it away."""
@@ -252,4 +249,13 @@
     text: str
 
 
+@dataclass(frozen=True)
+class Refused:
+    """An order was judged and not carried out; all else of its reply was, and its mark is answered all the same."""
+
+    order: "Share | Clear | Bind | Withdraw | Admit"
+    why: str
+
+
+Event = Listed | Rung | Probed | PeerSaid | Joined | Left | Met | Asked | Given | Stored | Answered | Refused
 Order = Share | Clear | Bind | Withdraw | Admit | Mark | Follow | Fetch | Probe | Wake | TellPeers | Note
--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -67,8 +67,9 @@
         for users in self.users.values():
             users.pop(proxy, None)
 
-    def obey(self, orders: Iterable[face.Order], now: float) -> dict[int, Parcel]:
-        """Carry out the orders that concern proxies; the rest are the host's."""
+    def obey(self, orders: Iterable[face.Order], now: float, concerned: Iterable[int] = ()) -> dict[int, Parcel]:
+        """Carry out the orders that concern proxies; the rest are the host's. `concerned` get the reply's mark
+        whatever else they get: the module awaits their answers for orders that were refused."""
         self._start()
         mark = None
         for order in orders:
@@ -81,8 +82,9 @@
                     self._withdraw(worker, out)
                 case face.Mark(number, everyone):
                     mark = number
-                    for proxy in self.seats if everyone else ():
-                        self.touched.setdefault(proxy, 0.0)
+                    for proxy in self.seats if everyone else concerned:
+                        if proxy in self.seats:
+                            self.touched.setdefault(proxy, 0.0)
         return self._parcels(mark, now)
 
     def _amend(self, order: face.Share | face.Clear | face.Admit) -> None:
--- a/dunlinlug/manager/kept.py
+++ b/dunlinlug/manager/kept.py
@@ -1,7 +1,9 @@
 """What outlives a kill: the list as last heard, and how many lives this manager has had (lmdb)."""
 
 import fcntl
+import json
 from pathlib import Path
+from typing import Any
 
 import lmdb
 
@@ -34,7 +36,7 @@
             change.put(b"epoch", str(epoch).encode())
         return epoch
 
-    def list(self) -> bytes | None:
+    def body(self) -> bytes | None:
         """The roster's body as last put."""
         with self.env.begin() as view:
             body: bytes | None = view.get(b"list")
@@ -44,6 +46,24 @@
         with self.env.begin(write=True) as change:
             change.put(b"list", body)
 
+    def put_refusals(self, refusals: list[dict[str, Any]], most: int) -> None:
+        """Add to a ring of so many; the oldest make room."""
+        with self.env.begin(write=True) as change:
+            count = int(change.get(b"refusals") or b"0")
+            for refusal in refusals:
+                change.put(b"refusal %08d" % (count % max(most, 1)), json.dumps({"n": count, **refusal}).encode())
+                count += 1
+            change.put(b"refusals", str(count).encode())
+
     def close(self) -> None:
         self.env.close()
         self.lock.close()
+
+
+def refusals(folder: Path) -> list[dict[str, Any]]:
+    """The refusals kept in a store, oldest first, also while a manager has it open."""
+    if not (folder / "data.mdb").exists():
+        raise KeptFault(f"{folder}: no store here")
+    with lmdb.open(str(folder), map_size=SIZE, readonly=True) as env, env.begin() as view:
+        found = [json.loads(value) for key, value in view.cursor() if key.startswith(b"refusal ")]
+    return sorted(found, key=lambda refusal: int(refusal["n"]))
--- a/dunlinlug/manager/loop.py
+++ b/dunlinlug/manager/loop.py
@@ -11,6 +11,7 @@
 from dunlinlug.manager.channel import Channel
 from dunlinlug.manager.desk import Desk
 from dunlinlug.manager.parcel import Parcel
+from dunlinlug.manager.watch import Watch
 
 
 class Decider(Protocol):
@@ -23,7 +24,8 @@
     """One module, one queue of events. Other parts `tell` it and are handed orders by their kind."""
 
     def __init__(self, module: Decider, desk: Desk, channel: Channel, deliver: Callable[[int, Parcel], None],
-                 note: Callable[..., None]) -> None:
+                 note: Callable[..., None], watch: Watch | None = None) -> None:
+        self.watch = watch
         self.module, self.desk, self.channel, self.deliver, self.note = module, desk, channel, deliver, note
         self.inbox: list[face.Event] = []
         self.come, self.put = trio.Event(), trio.Event()
@@ -55,8 +57,10 @@
         for event in events:
             if isinstance(event, face.Listed):
                 self.desk.listed(event.workers)
-        orders = self.module.decide(now, events)
-        parcels = self.desk.obey(orders, now)
+        orders, concerned = self.module.decide(now, events), list[int]()
+        if self.watch is not None:
+            orders, concerned = self.watch.look(now, events, orders, self.tell)
+        parcels = self.desk.obey(orders, now, concerned)
         for proxy, parcel in parcels.items():
             for bound in self.channel.put(now, proxy, parcel):
                 self.note("channel.over", bound=bound, proxy=proxy, waiting=round(self.channel.waiting))
--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -15,6 +15,7 @@
 from dunlinlug import interface as face
 from dunlinlug.balance import Balancer
 from dunlinlug.book import Book, BookFault
+from dunlinlug.guard import Judge
 from dunlinlug.manager import log, terms
 from dunlinlug.manager.channel import Channel
 from dunlinlug.manager.desk import Desk
@@ -24,6 +25,7 @@
 from dunlinlug.manager.probes import Prober
 from dunlinlug.manager.roster import Follower
 from dunlinlug.manager.service import Service
+from dunlinlug.manager.watch import Watch
 from dunlinlug.net import grpc, http
 from dunlinlug.roster import entries
 from dunlinlug.roster.follow import Following
@@ -48,7 +50,7 @@
         self.channel = Channel(outlet.pace or outlet.lines_per_s, outlet.waiting_most, outlet.messages_most,
                                outlet.messages_span)
         self.ledger = Ledger(hearing.lines_per_s, frozenset(p.name for p in self.trade.products))
-        self.loop = Loop(make(self.trade), self.desk, self.channel, self._deliver, self.note)
+        self.loop = Loop(make(self.trade), self.desk, self.channel, self._deliver, self.note, self._watch())
         self.service = Service(self.loop, self.desk, self.ledger, hearing.cycle, self.note)
         self.follower = self._follower(book.one(terms.Source), Random(own.seed))
         probing = book.one(terms.Probing)
@@ -57,6 +59,13 @@
     def _deliver(self, proxy: int, parcel: Any) -> None:
         self.service.deliver(proxy, parcel)
 
+    def _watch(self) -> Watch | None:
+        guarding = self.book.one(terms.Guarding)
+        if guarding.mode == "off":
+            return None
+        return Watch(Judge(self.trade), guarding.mode == "on", self.note,
+                     lambda refusals: self.kept.put_refusals(refusals, guarding.remember))
+
     def _follower(self, source: terms.Source, chance: Random) -> Follower:
         client = http.Client(*source.address, idle_most=1)
         state = Following(source.service, source.wait, chance.uniform)
@@ -88,7 +97,7 @@
     def _remember(self) -> None:
         """The list as it was held before, also an empty one: the module's first event."""
         workers: list[face.Worker] = []
-        body = self.kept.list()
+        body = self.kept.body()
         if body is not None:
             try:
                 workers, _ = entries.read(body, wall_offset())
--- a/dunlinlug/manager/terms.py
+++ b/dunlinlug/manager/terms.py
@@ -83,6 +83,14 @@
     fields: Words = Words(())
 
 
+@attrs.frozen
+class Guarding:
+    """[guard]: on refuses, watch only tells, off judges nothing; `remember` refusals are kept on disk."""
+
+    mode: Literal["on", "watch", "off"] = "on"
+    remember: Count = Count(500)
+
+
 @attrs.frozen
 class Ware:
     """[product NAME]."""
@@ -101,13 +109,14 @@
 
 
 SINGLE = {"manager": Desk, "channel": Outlet, "duties": Obligations, "roster": Source, "probes": Probing,
-          "reports": Hearing}
+          "reports": Hearing, "guard": Guarding}
 NAMED = {"product": Ware}
+OPTIONAL = frozenset({"probes", "reports", "guard"})
 
 
 def read(path: Path) -> Book:
     """The manager's file; raises BookFault."""
-    book = read_book(path, SINGLE, NAMED, optional=frozenset({"probes", "reports"}))
+    book = read_book(path, SINGLE, NAMED, optional=OPTIONAL)
     if not book.many(Ware):
         raise BookFault(f"{path}:1: no [product NAME] section: at least one product is needed")
     return book
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -68,6 +68,7 @@
     zone: str
     holds: dict[int, list[tuple[Table, int]]] = field(default_factory=dict)
     bound_at: float = inf
+    wait: float = 0.0  # until when it is not bound again, after a bind was refused
 
 
 @dataclass
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -9,6 +9,7 @@
 
 from dunlinlug.audit import figures, records, rules
 from dunlinlug.day.play import MANAGER, DayFault, Player
+from dunlinlug.manager.kept import refusals
 
 DAYS = Path(__file__).parent.parent / "days"
 SHIPPED = sorted(path.stem for path in DAYS.glob("*.ini"))
@@ -48,30 +49,47 @@
     ("part = 30%\nsize = 2", "part = 30%\nsize = 2\n\n[trouble lost]\nkind = answers_lost\nat = 1s\nlasts = 6s\n"
                              "part = 30%\nsize = 1"),
 )
+GUARDED = ("", "ramp", "retries", "tables")  # what the guard must stop; it hears the list itself, not the module's lie
 CAUGHT = {"": "", "withdrawals": "drain", "ramp": "pushed", "retries": "twice", "tables": "bare", "pace": "queue"}
 
 
-async def test_a_manager_broken_on_purpose_is_caught(tmp_path: Path) -> None:
-    text = (DAYS / "first.ini").read_text()
+async def hard_days(folder: Path, guard: str, ways: Sequence[str]) -> dict[str, set[str]]:
+    """The rules broken on the hard day, by the way in which its manager is broken."""
+    text = (DAYS / "first.ini").read_text() + f"\n[guard]\nmode = {guard}\n"
     for old, new in CHANGES:
         assert old in text, old
         text = text.replace(old, new)
-    (tmp_path / "hard.ini").write_text(text)
+    (folder / "hard.ini").write_text(text)
     broken: dict[str, set[str]] = {}
 
     async def one(way: str) -> None:
         script = (sys.executable, str(Path(__file__).parent / "broken_manager.py"), way)
-        found = await play(tmp_path / "hard.ini", tmp_path / f"way-{way}", script if way else MANAGER)
+        found = await play(folder / "hard.ini", folder / f"way-{way}", script if way else MANAGER)
         broken[way] = {item.rule for item in rules.judge(found)}
 
     async with trio.open_nursery() as nursery:
-        for way in CAUGHT:
+        for way in ways:
             nursery.start_soon(one, way)
+    return broken
+
+
+async def test_a_manager_broken_on_purpose_is_caught(tmp_path: Path) -> None:
+    broken = await hard_days(tmp_path, "off", list(CAUGHT))
     assert broken[""] == set()
     for way, rule in CAUGHT.items():
         assert not rule or rule in broken[way], (way, broken)
 
 
+async def test_the_guard_stops_what_a_careless_module_orders(tmp_path: Path) -> None:
+    """The same ways and the same day as above, but for the guard."""
+    broken = await hard_days(tmp_path, "on", GUARDED)
+    assert broken == dict.fromkeys(GUARDED, set())
+    for way in GUARDED[1:]:
+        said = refusals(tmp_path / f"way-{way}" / "store")
+        assert CAUGHT[way] in {refusal["rule"] for refusal in said}, (way, said[:3])
+        assert all(refusal["why"] and refusal["would_pass"] for refusal in said)
+
+
 async def test_a_day_whose_manager_cannot_start_fails_and_says_so(tmp_path: Path) -> None:
     with pytest.raises(DayFault, match="manager ended during the day"):
         await play(DAYS / "first.ini", tmp_path, (sys.executable, "-c", "raise SystemExit(3)"))
