The guard sums demand by what has moved; bounds on what a peer may name

The sums over all proxies were made anew whenever an answer changed who may hold what. A stream may name 10,000 resources at most, and reports of workers that were never listed are passed over: either could fill the memory. Tests of the module after refusals: ten in a row, once in each raise.

--- a/dunlinlug/guard/holdings.py
+++ b/dunlinlug/guard/holdings.py
@@ -23,7 +23,7 @@
         # By joined proxy and product: the tables it may be on, newest last, and the place of their order.
         self.held: dict[int, dict[int, list[tuple[int, int]]]] = {}
         self._users: dict[int, dict[int, None]] | None = {}
-        self.version = 0  # counts changes of who may hold what
+        self.moved: dict[int, None] = {}  # proxies that may hold other tables since the sums were last made
         self.out: set[str] = set()  # as ordered last
         self.unsure: dict[str, tuple[int, set[int]]] = {}  # by worker: place of the mark, proxies yet to answer
         self.places: dict[int, int] = {}  # marks not yet settled, by number, and their place in order
@@ -33,16 +33,17 @@
         match event:
             case face.Joined(proxy) | face.Left(proxy):
                 if self.held.pop(proxy, None):
-                    self._changed()
+                    self._changed(proxy)
                 self._settle(proxy, self.last)
                 if isinstance(event, face.Joined):
                     self.held[proxy] = {}
-                    self._changed()
+                    self._changed(proxy)
             case face.Answered(proxy, mark) if mark in self.places:
                 self._settle(proxy, self.places[mark])
 
-    def _changed(self) -> None:
-        self._users, self.version = None, self.version + 1
+    def _changed(self, proxy: int) -> None:
+        self._users = None
+        self.moved[proxy] = None
 
     def _settle(self, proxy: int, place: int) -> None:
         for worker, (at, awaited) in list(self.unsure.items()):
@@ -54,7 +55,7 @@
             sure = max((n for n, (_, at) in enumerate(held) if at <= place), default=0)
             if sure:
                 del held[:sure]
-                self._changed()
+                self._changed(proxy)
 
     def obey(self, orders: list[face.Order]) -> None:
         """Take in one reply as passed."""
@@ -73,7 +74,7 @@
                 case face.Bind(proxy, products, tbl) if proxy in self.held:
                     for product in products:
                         self.held[proxy].setdefault(product, []).append((tbl, self.last))
-                    self._changed()
+                    self._changed(proxy)
                 case face.Withdraw(worker, out):
                     (self.out.add if out else self.out.discard)(worker)
                     self.unsure[worker] = (self.last, set(self.held))
--- a/dunlinlug/guard/judge.py
+++ b/dunlinlug/guard/judge.py
@@ -12,8 +12,8 @@
 from dunlinlug import interface as face
 from dunlinlug.guard.holdings import Holdings, Table
 from dunlinlug.guard.reading import Reading
+from dunlinlug.guard.sums import Sums
 
-FRESH = 0.5  # seconds for which sums of demand are used again: a report cycle brings no more news than that
 HEAVIEST = 1e6  # a weight beyond it is a slip of the hand: a fleet's weights lie within a thousand of each other
 
 
@@ -37,8 +37,7 @@
         self.reading, self.holdings = Reading(trade.duties, trade.products), Holdings()
         self.listed: dict[str, face.Worker] = {}
         self.since: dict[str, float] = {}
-        # The demand by group as last summed: at which version of the holdings, and when.
-        self.summed: tuple[int, float, dict[tuple[int, tuple[int, ...]], float] | None] = (-1, 0.0, None)
+        self.sums = Sums(self.holdings, self.reading, self.products)
         self.recent: dict[str, None] = {}  # those that may be cold
         self.judges: dict[type, Callable[[float, face.Order], Refusal | None]] = {
             face.Share: self._share, face.Bind: self._bind, face.Withdraw: self._withdraw, face.Clear: self._clear,
@@ -75,9 +74,7 @@
         passed: list[face.Order] = []
         refusals: list[Refusal] = []
         self.most = self._limits(now)
-        self.trial = _Trial(self.holdings, self.reading, self.trade, now)
-        if self.summed[:2] == (self.holdings.version, now // FRESH):
-            self.trial.take_groups(self.summed[2])
+        self.trial = _Trial(self.holdings, self.reading, self.trade, now, self.sums)
         for order in orders:
             judge = self.judges.get(type(order))
             refusal = judge(now, order) if judge else None
@@ -86,8 +83,6 @@
             if refusal is None or refusal.passed:
                 passed.append(order)
                 self.trial.obey(order)
-        if self.trial.first_groups is not None:
-            self.summed = (self.holdings.version, now // FRESH, self.trial.first_groups)
         self.holdings.obey(passed)
         return passed, refusals
 
@@ -215,14 +210,13 @@
 class _Trial:
     """Holdings with the orders of the reply at hand laid over them; costs what these change."""
 
-    def __init__(self, base: Holdings, reading: Reading, trade: face.Trade, now: float) -> None:
-        self.base, self.reading, self.trade, self.now = base, reading, trade, now
+    def __init__(self, base: Holdings, reading: Reading, trade: face.Trade, now: float, sums: Sums) -> None:
+        self.base, self.reading, self.trade, self.now, self.sums = base, reading, trade, now, sums
         self.tables: dict[int, Table] = {}
         self.bound: dict[tuple[int, int], list[int]] = {}
         self.turned: dict[str, bool] = {}
         self.added: dict[int, dict[int, None]] = {}  # proxies bound to a table by this reply
         self._groups: dict[tuple[int, tuple[int, ...]], float] | None = None
-        self.first_groups: dict[tuple[int, tuple[int, ...]], float] | None = None  # before this reply's binds
         self._sums: dict[int, float] = {}
         self.usable: dict[int, list[str]] = {}  # the judge's, by table
 
@@ -249,20 +243,11 @@
     def groups(self) -> dict[tuple[int, tuple[int, ...]], float]:
         """Txns a second by product and the tables that their proxies may be on."""
         if self._groups is None:
-            self._groups = {}
-            for proxy in self.base.held:
-                for product in range(len(self.trade.products)):
-                    self._move(proxy, product, (), self.base.tables_of(proxy, product))
-            self.first_groups = dict(self._groups)
+            self._groups = dict(self.sums.at(self.now))
             for proxy, product in self.bound:
                 self._move(proxy, product, self.base.tables_of(proxy, product), self.tables_of(proxy, product))
         return self._groups
 
-    def take_groups(self, groups: dict[tuple[int, tuple[int, ...]], float] | None) -> None:
-        """Sums made for an earlier reply on the same holdings."""
-        if groups is not None:
-            self.first_groups, self._groups = groups, dict(groups)
-
     def _move(self, proxy: int, product: int, old: Iterable[int], new: Iterable[int]) -> None:
         groups, brings = self.groups(), self.reading.brings(self.now, proxy, product)
         for tables, sign in ((tuple(old), -1.0), (tuple(new), 1.0)):
@@ -303,7 +288,7 @@
     # What an order would make of it.
 
     def _copy(self) -> "_Trial":
-        made = _Trial(self.base, self.reading, self.trade, self.now)
+        made = _Trial(self.base, self.reading, self.trade, self.now, self.sums)
         made.tables, made.bound, made.turned, made.added = self.tables, self.bound, self.turned, self.added
         made._groups, made._sums = self.groups(), self._sums
         return made
--- a/dunlinlug/guard/reading.py
+++ b/dunlinlug/guard/reading.py
@@ -25,6 +25,7 @@
         self.usual: dict[int, float] = {}  # by proxy, as told at its joining
         self.settled: dict[str, tuple[float, float]] = {}  # by worker: its best settled rate of late, and when
         self.tries = self.voids = 0.0
+        self.moved: dict[int, None] = {}  # proxies heard of since the sums were last made
 
     def hear(self, now: float, event: face.Event) -> None:
         match event:
@@ -38,6 +39,7 @@
                 before = self.demand.get(key, txns / span)
                 self.demand[key] = before + SMOOTH * (txns / span - before)
                 self.heard_at[key] = now
+                self.moved[proxy] = None
             case face.Met(_, worker, tries, voided, _, span) if span > 0:
                 rate = (tries - voided) / span
                 self.settled[worker] = (max(rate, self._faded(worker, now)), now)
--- a/dunlinlug/manager/service.py
+++ b/dunlinlug/manager/service.py
@@ -115,6 +115,8 @@
                 node = report.node
                 call.send(loads.answer(self.cycle))
             proxy = self.numbers.get(node)
+            # Danger: a peer could make up workers and fill the ledger, and the module's share of reports, with them.
+            report.workers = {worker: at for worker, at in report.workers.items() if worker in self.desk.zones}
             if proxy in self.sessions:
                 assert proxy is not None
                 self.ledger.add(trio.current_time(), proxy, self.sessions[proxy].stream.zone, report)
--- a/dunlinlug/xds/stream.py
+++ b/dunlinlug/xds/stream.py
@@ -8,6 +8,8 @@
 
 from dunlinlug.xds import names, render
 
+NAMES = 10_000  # resource names that one stream may subscribe to or hold: some thousand times what a proxy needs
+
 
 class StreamFault(Exception):
     """The peer does not speak this protocol; the stream is to be ended with this text."""
@@ -63,6 +65,8 @@
         wanted = self.subscribed.setdefault(request.type_url, set())
         wanted |= set(request.resource_names_subscribe)
         wanted -= set(request.resource_names_unsubscribe)
+        if len(wanted) > NAMES or len(self.held[request.type_url]) > NAMES:  # Danger: a peer could fill our memory
+            raise StreamFault(f"more than {NAMES} resource names")
         if request.response_nonce:
             said += self._answered(request)
         return said
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -219,6 +219,21 @@
         DeltaStream().receive(request.SerializeToString())
 
 
+def test_a_stream_that_names_too_much_is_ended() -> None:
+    for field in ("subscribe", "held"):
+        stream = DeltaStream()
+        with pytest.raises(StreamFault, match="more than 10000 resource names"):
+            for n in range(3):
+                request = discovery_pb2.DeltaDiscoveryRequest(type_url=names.ROUTES)
+                request.node.id = "p"
+                for k in range(4000):
+                    if field == "held":
+                        request.initial_resource_versions[f"{n}/{k}"] = "1"
+                    else:
+                        request.resource_names_subscribe.append(f"{n}/{k}")
+                stream.receive(request.SerializeToString())
+
+
 def test_equal_content_has_equal_versions() -> None:
     one = render.table("1/1", {WORKERS[0]: 1.0}, {WORKERS[0]: "north"}, {"read": 0.5})
     assert one.version == render.table("1/1", {WORKERS[0]: 1.0}, {WORKERS[0]: "north"}, {"read": 0.5}).version
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -147,11 +147,15 @@
         call.send(loads.write(loads.Loads("p0", "north", 0.0), greeting=True))
         with trio.fail_after(5.0):
             assert loads.read_answer(await call.receive()) == pytest.approx(0.5)
-        report = loads.Loads("p0", "north", 0.5, {WORKERS[0].id: loads.AtWorker(10, 4, 0.6, {"queue": 3.0})},
+        report = loads.Loads("p0", "north", 0.5, {WORKERS[0].id: loads.AtWorker(10, 4, 0.6, {"queue": 3.0}),
+                                                  "127.0.0.1:9": loads.AtWorker(5, 5)},
                              {"ticket-read": (9, 2), "unknown": (1, 0)})
         call.send(loads.write(report, greeting=False))
-        await until(lambda: any(s["causes"].get("Met") for s in run.said("decided")) or bool(
-            run.manager.loop.module.gate.came["ticket-read"]))  # type: ignore[attr-defined]
+        module = run.manager.loop.module
+        await until(lambda: bool(module.gate.came["ticket-read"]))  # type: ignore[attr-defined]
+        health, i = module.health, module.fleet.index[WORKERS[0].id]  # type: ignore[attr-defined]
+        await until(lambda: bool(health.tries[i]))
+        assert health.part(i) == pytest.approx(0.4) and "127.0.0.1:9" not in {w for _, w in run.manager.ledger.met}
 
 
 async def test_the_roster_going_back_or_away_is_lived_with(tmp_path: Path) -> None:
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,91 @@
+"""The module after a refusal: it goes by what is, and does not order the same again each turn."""
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Balancer
+from tests.helpers import trade, worker
+
+RAISE = Balancer.RAISE
+
+
+class Refusing:
+    """A module whose orders of one kind are refused for as long as `refuse` says so; counts them by time."""
+
+    def __init__(self, refuse: type, when: object = lambda order: True) -> None:
+        self.module, self.refuse, self.when, self.on = Balancer(trade()), refuse, when, True
+        self.seen: list[tuple[float, face.Order]] = []
+        self.now, self.events = 0.0, list[face.Event]()
+
+    def step(self, *events: face.Event, span: float = 0.1) -> list[face.Order]:
+        self.now += span
+        orders = self.module.decide(self.now, [*self.events, *events])
+        self.events = []
+        for order in orders:
+            if self.on and isinstance(order, self.refuse) and self.when(order):  # type: ignore[operator]
+                self.seen.append((self.now, order))
+                self.events.append(face.Refused(order, "said no"))
+            if isinstance(order, face.Mark):
+                self.events += [face.Answered(p, order.number, 0.1) for p in self.module.proxies]
+        return orders
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.step()
+
+
+def started(it: Refusing) -> None:
+    it.step(face.Listed("kept", tuple(worker(n) for n in range(6))))
+    it.step(face.Joined(3, "north", 10.0, True))
+
+
+def test_a_refused_bind_is_not_believed_and_waits_for_a_raise() -> None:
+    it = Refusing(face.Bind)
+    started(it)
+    assert len(it.seen) == 1
+    it.step()
+    assert not it.module.proxies[3].holds
+    it.run(RAISE - 0.5)
+    assert len(it.seen) == 1
+    it.run(10 * RAISE)
+    assert 9 <= len(it.seen) - 1 <= 11, "ten times in a row, once in each raise"
+    it.on = False
+    it.run(RAISE + 0.5)
+    assert set(it.module.proxies[3].holds) == {0, 1}
+
+
+def test_a_refused_line_is_left_out_and_tried_again_after_a_raise() -> None:
+    bad = worker(5).id
+    it = Refusing(face.Share, lambda order: order.worker == bad)
+    started(it)
+    it.run(2.0)
+    i = it.module.fleet.index[bad]
+    assert all(i not in table.shares for table in it.module.current.values())
+    first = len(it.seen)
+    it.run(RAISE - 2.5)
+    assert len(it.seen) == first
+    it.on = False
+    it.run(RAISE)
+    assert all(i in table.shares for table in it.module.current.values())
+
+
+def test_a_refused_letting_in_leaves_the_worker_out_and_others_are_still_withdrawn() -> None:
+    it = Refusing(face.Withdraw, lambda order: not order.out)
+    started(it)
+    it.run(2.0)
+    it.step(face.Listed("changes", (worker(0, "draining"),)))
+    it.run(4.0)
+    gone = it.module.fleet.index[worker(0).id]
+    assert it.seen and gone in it.module.out, "it was let in, refused, and is known to be out"
+    orders = it.step(face.Listed("changes", (worker(1, "gone"),)))
+    assert face.Withdraw(worker(1).id, True) in orders, "a refusal delays no drain"
+    assert len(it.seen) <= 2
+
+
+def test_a_refused_clear_keeps_its_number_out_of_use() -> None:
+    it = Refusing(face.Clear)
+    started(it)
+    for n in range(8):
+        it.step(face.Listed("changes", (worker(0, "ready" if n % 2 else "draining"),)))
+        it.run(4.0)
+    refused = {order.tbl for _, order in it.seen}
+    laid = {table.number for table in it.module.current.values()}
+    assert refused and not refused & laid and refused <= it.module.numbers
