--- a/dunlinlug/guard/judge.py
+++ b/dunlinlug/guard/judge.py
@@ -32,8 +32,9 @@
 class Judge:
     """Hear every event first, then judge the reply to them."""
 
-    def __init__(self, trade: face.Trade) -> None:
-        self.trade, self.products = trade, len(trade.products)
+    def __init__(self, trade: face.Trade, obeyed: bool = True) -> None:
+        """With `obeyed` false every order is carried out all the same, and what proxies may hold follows that."""
+        self.trade, self.products, self.obeyed = trade, len(trade.products), obeyed
         self.reading, self.holdings = Reading(trade.duties, trade.products), Holdings()
         self.listed: dict[str, face.Worker] = {}
         self.since: dict[str, float] = {}
@@ -83,7 +84,7 @@
             if refusal is None or refusal.passed:
                 passed.append(order)
                 self.trial.obey(order)
-        self.holdings.obey(passed)
+        self.holdings.obey(passed if self.obeyed else orders)
         return passed, refusals
 
     def _malformed(self, order: face.Order, said: str) -> Refusal:
--- a/dunlinlug/guard/reading.py
+++ b/dunlinlug/guard/reading.py
@@ -23,7 +23,8 @@
         self.demand: dict[tuple[int, int], float] = {}  # by proxy and product
         self.heard_at: dict[tuple[int, int], float] = {}
         self.usual: dict[int, float] = {}  # by proxy, as told at its joining
-        self.settled: dict[str, tuple[float, float]] = {}  # by worker: its best settled rate of late, and when
+        # By worker and the zone of the proxies that met it: the best settled rate of late, and when it was told.
+        self.settled: dict[str, dict[str, tuple[float, float]]] = {}
         self.tries = self.voids = 0.0
         self.moved: dict[int, None] = {}  # proxies heard of since the sums were last made
 
@@ -40,9 +41,10 @@
                 self.demand[key] = before + SMOOTH * (txns / span - before)
                 self.heard_at[key] = now
                 self.moved[proxy] = None
-            case face.Met(_, worker, tries, voided, _, span) if span > 0:
-                rate = (tries - voided) / span
-                self.settled[worker] = (max(rate, self._faded(worker, now)), now)
+            case face.Met(zone, worker, tries, voided, _, span) if span > 0:
+                rate, zones = (tries - voided) / span, self.settled.setdefault(worker, {})
+                before, at = zones.get(zone, (0.0, now))
+                zones[zone] = (max(rate, before * 0.5 ** ((now - at) / HALF)), now)
                 self.tries, self.voids = 0.9 * self.tries + tries, 0.9 * self.voids + voided
 
     def _forget(self, proxy: int) -> None:
@@ -51,8 +53,8 @@
             del self.demand[key], self.heard_at[key]
 
     def _faded(self, worker: str, now: float) -> float:
-        rate, at = self.settled.get(worker, (0.0, now))
-        return float(rate * 0.5 ** ((now - at) / HALF))
+        zones = self.settled.get(worker, {}).values()
+        return float(sum(rate * 0.5 ** ((now - at) / HALF) for rate, at in zones))
 
     def brings(self, now: float, proxy: int, product: int) -> float:
         """What a proxy may bring of a product: as heard; more if it is silent; its usual rate, evenly, if unheard."""
--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -63,7 +63,8 @@
         guarding = self.book.one(terms.Guarding)
         if guarding.mode == "off":
             return None
-        return Watch(Judge(self.trade), guarding.mode == "on", self.note,
+        obeyed = guarding.mode == "on"
+        return Watch(Judge(self.trade, obeyed), obeyed, self.note,
                      lambda refusals: self.kept.put_refusals(refusals, guarding.remember))
 
     def _follower(self, source: terms.Source, chance: Random) -> Follower:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -123,6 +123,28 @@
     assert refused(it, [face.Withdraw(WORKERS[1], True)]) == []
 
 
+def test_what_zones_meet_at_one_worker_adds_up() -> None:
+    """Reports are by the zone of the proxies: the best of them alone would read a third of a worker's size."""
+    warm = {w: 1.0 for w in WORKERS[:6]}
+    for zones in ((), ("south", "east")):
+        it = judge()
+        it.hear(NOW, [face.Met(zone, w, 13, 0, 0.1, 1.0) for zone in zones for w in WORKERS[:6]])
+        assert refused(it, [*lay(1, warm), *bind(1), face.Mark(1, False)]) == []
+        part = {**warm, COLD[0]: 1.5}
+        assert bool(refused(it, [*lay(2, part), *bind(2), face.Mark(2, False)])) != bool(zones)
+
+
+def test_a_judge_that_is_not_obeyed_follows_what_was_carried_out() -> None:
+    it = Judge(trade(), obeyed=False)
+    it.hear(NOW, [listed(), face.Joined(0, "north", 10.0, True)])
+    assert [r.rule for r in refused(it, [face.Bind(0, (0, 1), 4), face.Mark(1, False)])] == ["bare"]
+    assert it.holdings.tables_of(0, 1) == [4]
+    it.hear(NOW, [face.Answered(0, 1, 0.1)])
+    assert refused(it, [*lay(5, even()), *bind(5, [0]), face.Mark(2, False)]) == []
+    it.hear(NOW, [face.Answered(0, 2, 0.1)])
+    assert refused(it, [face.Clear(4)]) == []
+
+
 def test_a_drained_worker_is_not_let_in_while_unknown_tables_may_name_it() -> None:
     it = judge()
     it.hear(NOW, [listed(ready=WORKERS[1:], draining=WORKERS[:1])])
