The guard never refuses to withdraw a worker that a whole list names no more

Found on reading the change over: a whole list dropped workers it does not name from what the guard knows, so that after a restart the withdrawal of one gone meanwhile was refused as unknown. It counts as gone now; the test fails without it. An unused type went too.

--- a/dunlinlug/guard/judge.py
+++ b/dunlinlug/guard/judge.py
@@ -51,8 +51,8 @@
             self.reading.hear(now, event)
             self.holdings.hear(event)
             if isinstance(event, face.Listed) and event.form != "failed":
-                if event.form != "changes":
-                    self.listed = {key: worker for key, worker in self.listed.items() if worker.state == "gone"}
+                if event.form != "changes":  # Danger: one that a whole list does not name is gone, not unknown
+                    self.listed = {key: replace(worker, state="gone") for key, worker in self.listed.items()}
                 for worker in event.workers:
                     self.listed[worker.id] = worker
                     self.since[worker.id] = max(self.since.get(worker.id, -inf), worker.since or -inf)
--- a/dunlinlug/manager/ledger.py
+++ b/dunlinlug/manager/ledger.py
@@ -1,6 +1,5 @@
 """Sums of what proxies report, given on at the rate that the module is told of: the oldest first, the rest adds up."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from dunlinlug import interface as face
@@ -70,6 +69,3 @@
     def _came(self, now: float, proxy: int, product: str) -> face.Event:
         came = self.came.pop((proxy, product))
         return face.Asked(proxy, product, came.txns, came.voided, now - came.since)
-
-
-Teller = Callable[[face.Event], None]
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -154,6 +154,15 @@
     assert refused(it, [*bind(1, [3]), face.Mark(2, False), face.Withdraw(WORKERS[0], False)]) == []
 
 
+def test_a_worker_that_a_whole_list_names_no_more_may_be_withdrawn() -> None:
+    """Kept over a restart and gone meanwhile: its withdrawal is a drain, not a slip of the hand."""
+    it = judge()
+    assert refused(it, [*lay(1, {w: 1.0 for w in WORKERS[:2]}), *bind(1), face.Mark(1, False)]) == []
+    it.hear(NOW, [face.Listed("whole", tuple(face.Worker(w, "north", "", 0, "ready", 1.0, None)
+                                             for w in WORKERS[2:]))])
+    assert refused(it, [face.Withdraw(WORKERS[0], True), face.Withdraw(WORKERS[1], True)]) == []
+
+
 def test_a_bind_to_a_table_whose_workers_are_out_keeps_the_old_one_unless_that_is_bare_too() -> None:
     it = judge()
     assert refused(it, [*lay(1, {WORKERS[0]: 1.0}), *bind(1), face.Mark(1, False), *lay(2, {WORKERS[1]: 1.0}),
