Operators' tables: propose, show, pin and unpin over a local HTTP endpoint

The guard's issue asks that a table from an operator's hand is judged like any other and ends by itself. A pin (weights, a subset or an exclusion of one product, for a stated time) is weighed as all proxies would hold it, is on disk before it is answered, reaches the module as an event and comes in by the staged change. The guard lifts one whose workers are gone, or whose weighed line it refuses, and says so. The endpoint is h11 on loopback with a token from a file of its owner's alone.

--- /dev/null
+++ b/bench/loss.py
@@ -0,0 +1,125 @@
+"""A site lost in the middle of refusals: revenue with the guard on, off, and with a guard that refuses all.
+
+    python -m bench.loss [--seeds 4] [--at-once 3]
+
+Plays, through sockets on loopback, a day with three zones of workers of which one dies unseen for 9 s, under a module
+that is careless from 3 s on: of every reply that lays a table, four in ten have their lines left out or one worker's
+weight raised fifty times. Its chance is seeded, so that the same seed draws alike under each guard. Told are revenue
+within the SLA time (whole, and in the worst 10 s) and the rules broken; a day that breaks one counts for nothing.
+"""
+
+import argparse
+import sys
+import tempfile
+from collections.abc import Iterable
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.audit import figures, records, rules
+from dunlinlug.balance import Balancer
+from dunlinlug.cli import end_with_input
+from dunlinlug.day.play import Player
+from dunlinlug.guard import Judge, Refusal
+from dunlinlug.manager import main as manager
+
+DAY = Path(__file__).parent.parent / "days" / "first.ini"
+CARELESS_FROM, CARELESS, HEAVIER = 3.0, 0.4, 50.0
+KINDS = {"whole module, guard on": ("on", "good"), "guard on": ("on", "careless"), "guard off": ("off", "careless"),
+         "refusing all": ("on", "refused")}
+
+
+class Careless:
+    """The module, and after a while some of its tables bent."""
+
+    def __init__(self, trade: face.Trade) -> None:
+        self.module, self.chance, self.first = Balancer(trade), Random(f"{trade.seed} careless"), float("inf")
+
+    def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]:
+        orders = self.module.decide(now, events)
+        self.first = min(self.first, now)
+        laid = sorted({order.tbl for order in orders if isinstance(order, face.Share)})
+        if now < self.first + CARELESS_FROM or not laid or self.chance.random() >= CARELESS:
+            return orders
+        tbl = self.chance.choice(laid)
+        if self.chance.random() < 0.5:
+            return [order for order in orders if not (isinstance(order, face.Share) and order.tbl == tbl)]
+        bent = self.chance.choice([o for o in orders if isinstance(o, face.Share) and o.tbl == tbl])
+        return [replace(bent, weight=HEAVIER * bent.weight) if order is bent else order for order in orders]
+
+
+class RefusingAll(Judge):
+    """After the first tables, no order that it may refuse passes."""
+
+    first = float("inf")
+
+    def judge(self, now: float, orders: list[face.Order]) -> tuple[list[face.Order], list[Refusal]]:
+        self.first = min(self.first, now)
+        if now < self.first + CARELESS_FROM:
+            return super().judge(now, orders)
+        refused = [Refusal(order, "all", "refused", "nothing") for order in orders if type(order) in self.judges]
+        passed = [order for order in orders if type(order) not in self.judges]
+        self.holdings.obey(passed)
+        return passed, refused
+
+
+def day(seed: int, mode: str) -> str:
+    text = DAY.read_text().split("[trouble one out]")[0]
+    for old, new in (("seed = 3", f"seed = {seed}"), ("length = 12s", "length = 20s"), ("workers = 6", "workers = 12"),
+                     ("zones = north, south", "zones = north, south, east"), ("count = 4", "count = 8"),
+                     ("txns_per_s = 40/s", "txns_per_s = 130/s"), ("store = unused", f"store = unused\nseed = {seed}")):
+        assert old in text
+        text = text.replace(old, new, 1)
+    troubles = (("deploy", "at = 4s\nlasts = 8s\nevery = 2s\npart = 30%\nsize = 1"),
+                ("zone_loss", "at = 6s\nlasts = 9s\nzone = east"))
+    return text + f"\n[guard]\nmode = {mode}\n" + "".join(
+        f"\n[trouble {kind}]\nkind = {kind}\n{rest}\n" for kind, rest in troubles)
+
+
+async def compare(seeds: int, at_once: int, folder: Path) -> None:
+    room, found = trio.CapacityLimiter(at_once), dict[tuple[str, int], tuple[figures.Figures, list[str], int]]()
+
+    async def one(name: str, seed: int) -> None:
+        mode, module = KINDS[name]
+        place = folder / f"{module}-{mode}-{seed}"
+        place.mkdir()
+        (place / "day.ini").write_text(day(seed, mode))
+        async with room:
+            await Player(place / "day.ini", place / "r", (sys.executable, "-m", "bench.loss", "manager", module)).play()
+        read = records.read(place / "r")
+        broken = sorted({b.rule for b in rules.judge(read)})
+        log = (place / "r" / "manager.log").read_text()
+        found[name, seed] = figures.figures(read), broken, log.count("guard.refused")
+
+    async with trio.open_nursery() as nursery:
+        for seed in range(1, seeds + 1):
+            for name in KINDS:
+                nursery.start_soon(one, name, seed)
+    print("| guard | served, by seed | worst 10 s | refused | rules broken, by seed |\n| --- | --- | --- | --- | --- |")
+    for name in KINDS:
+        lines = [found[name, seed] for seed in range(1, seeds + 1)]
+        print(f"| {name} | {', '.join(f'{line[0].served:.3f}' for line in lines)} "
+              f"| {', '.join(f'{line[0].worst:.3f}' for line in lines)} | {', '.join(str(line[2]) for line in lines)} "
+              f"| {', '.join('+'.join(line[1]) or 'none' for line in lines)} |")
+
+
+def main() -> None:
+    if sys.argv[1:2] == ["manager"]:
+        kind, file = sys.argv[2], Path(sys.argv[3])
+        if kind == "refused":
+            manager.Judge = RefusingAll  # type: ignore[misc]
+        end_with_input()
+        sys.exit(manager.serve(file, Balancer if kind == "good" else Careless))
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=4)
+    parser.add_argument("--at-once", type=int, default=3)
+    given = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="dunlinlug-loss-") as folder:
+        trio.run(compare, given.seeds, given.at_once, Path(folder))
+
+
+if __name__ == "__main__":
+    main()
--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -384,8 +384,8 @@
         weights = {self.fleet.index[w]: weight for w, weight in pin.weights if w in self.fleet.index}
         if not weights and pin.others:
             return plain
-        shares = {i: weights[i] * parts[i] if i in weights else share for i, share in plain.items()}
-        shares = {i: share for i, share in shares.items() if share and (pin.others or i in weights)}
+        given = {i: weight * parts[i] for i, weight in weights.items() if weight is not None and i in plain}
+        shares = {i: n for i, n in {**plain, **given}.items() if n and (pin.others or i in weights)}
         return plain if out >= shares.keys() else shares
 
     def _in_use(self) -> list[Table]:
--- a/dunlinlug/cli.py
+++ b/dunlinlug/cli.py
@@ -8,14 +8,8 @@
 
 import click
 
-
-class BadFile(click.ClickException):
-    """A file that cannot be used: one line, exit status 2."""
-
-    exit_code = 2
-
-
-FILE = click.Path(path_type=Path)
+from dunlinlug.commands import FILE, BadFile
+from dunlinlug.operators.commands import table
 
 
 @click.group()
@@ -24,6 +18,9 @@
     """dunlinlug: a control service that hands plain proxies their tables."""
 
 
+main.add_command(table)
+
+
 def end_with_input() -> None:
     """End this process when standard input closes: whoever started it is gone."""
     def watch() -> None:
@@ -105,34 +102,6 @@
     sys.exit(0 if kept else 1)
 
 
-@main.group()
-def table() -> None:
-    """Tables, and what was refused of them."""
-
-
-@table.command("explain")
-@click.argument("file", type=FILE)
-@click.option("--last", default=20, help="How many refusals, the newest.")
-def table_explain(file: Path, last: int) -> None:
-    """What the guard of a manager refused, by the manager's INI file; the manager may be running or not."""
-    import time
-
-    from dunlinlug.book import BookFault
-    from dunlinlug.manager import terms
-    from dunlinlug.manager.kept import KeptFault, refusals
-
-    try:
-        found = refusals(Path(terms.read(file).one(terms.Desk).store))
-    except (BookFault, KeptFault) as fault:
-        raise BadFile(str(fault)) from None
-    if not found:
-        click.echo("nothing was refused")
-    for refusal in found[-last:]:
-        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(refusal["wall"]))
-        click.echo(f"{at}  {refusal['done']}: {refusal['order']}\n    {refusal['rule']}: {refusal['why']}; "
-                   f"would pass: {refusal['would_pass']}; proxies: {refusal['proxies'] or 'all that use it'}")
-
-
 @main.group("stand-in")
 def stand_in() -> None:
     """Plain stand-ins for a day; they read the day's run file and obey standard input."""
--- /dev/null
+++ b/dunlinlug/commands.py
@@ -0,0 +1,13 @@
+"""What all commands share."""
+
+from pathlib import Path
+
+import click
+
+FILE = click.Path(path_type=Path)
+
+
+class BadFile(click.ClickException):
+    """A file that cannot be used: one line, exit status 2."""
+
+    exit_code = 2
--- a/dunlinlug/guard/reading.py
+++ b/dunlinlug/guard/reading.py
@@ -52,7 +52,8 @@
         for key in [key for key in self.demand if key[0] == proxy]:
             del self.demand[key], self.heard_at[key]
 
-    def _faded(self, worker: str, now: float) -> float:
+    def settles(self, worker: str, now: float) -> float:
+        """Txns a second that it settled of late, over all zones."""
         zones = self.settled.get(worker, {}).values()
         return float(sum(rate * 0.5 ** ((now - at) / HALF) for rate, at in zones))
 
@@ -80,7 +81,7 @@
         `warm` are their ids and weights. Infinite while none has settled anything, as nothing is known."""
         rates, weights = 0.0, 0.0
         for worker, own in warm:
-            rate = self._faded(worker, now)
+            rate = self.settles(worker, now)
             if rate:
                 rates, weights = rates + rate, weights + own
         return rates / weights if rates else inf
--- a/dunlinlug/interface.py
+++ b/dunlinlug/interface.py
@@ -259,11 +259,11 @@
 
 @dataclass(frozen=True)
 class Pinned:
-    """An operator's word for one product: weights by worker in place of the listed ones (0: not to be used), and
-    whether workers not named keep theirs. No weights with `others` ends it."""
+    """An operator's word for one product: weights by worker in place of the listed ones (0: not to be used; None:
+    as listed), and whether workers not named keep theirs. No weights with `others` ends it."""
 
     product: int
-    weights: tuple[tuple[str, float], ...] = ()
+    weights: tuple[tuple[str, float | None], ...] = ()
     others: bool = True
 
 
--- a/dunlinlug/manager/kept.py
+++ b/dunlinlug/manager/kept.py
@@ -55,6 +55,16 @@
                 count += 1
             change.put(b"refusals", str(count).encode())
 
+    def pins(self) -> list[dict[str, Any]]:
+        with self.env.begin() as view:
+            found: list[dict[str, Any]] = json.loads(view.get(b"pins") or b"[]")
+        return found
+
+    def put_pins(self, pins: list[dict[str, Any]]) -> None:
+        """On disk before an operator is told that they stand."""
+        with self.env.begin(write=True) as change:
+            change.put(b"pins", json.dumps(pins).encode())
+
     def close(self) -> None:
         self.env.close()
         self.lock.close()
@@ -64,6 +74,9 @@
     """The refusals kept in a store, oldest first, also while a manager has it open."""
     if not (folder / "data.mdb").exists():
         raise KeptFault(f"{folder}: no store here")
-    with lmdb.open(str(folder), map_size=SIZE, readonly=True) as env, env.begin() as view:
-        found = [json.loads(value) for key, value in view.cursor() if key.startswith(b"refusal ")]
+    try:
+        with lmdb.open(str(folder), map_size=SIZE, readonly=True) as env, env.begin() as view:
+            found = [json.loads(value) for key, value in view.cursor() if key.startswith(b"refusal ")]
+    except lmdb.Error as error:
+        raise KeptFault(f"{folder}: {error}") from None
     return sorted(found, key=lambda refusal: int(refusal["n"]))
--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -15,7 +15,7 @@
 from dunlinlug import interface as face
 from dunlinlug.balance import Balancer
 from dunlinlug.book import Book, BookFault
-from dunlinlug.guard import Judge
+from dunlinlug.guard import Judge, Pins
 from dunlinlug.manager import log, terms
 from dunlinlug.manager.channel import Channel
 from dunlinlug.manager.desk import Desk
@@ -27,6 +27,9 @@
 from dunlinlug.manager.service import Service
 from dunlinlug.manager.watch import Watch
 from dunlinlug.net import grpc, http
+from dunlinlug.operators import view
+from dunlinlug.operators.board import Board
+from dunlinlug.operators.office import Office, TokenFault, read_token
 from dunlinlug.roster import entries
 from dunlinlug.roster.follow import Following
 
@@ -50,11 +53,14 @@
         self.channel = Channel(outlet.pace or outlet.lines_per_s, outlet.waiting_most, outlet.messages_most,
                                outlet.messages_span)
         self.ledger = Ledger(hearing.lines_per_s, frozenset(p.name for p in self.trade.products))
-        self.loop = Loop(make(self.trade), self.desk, self.channel, self._deliver, self.note, self._watch())
+        self.watch = self._watch()
+        self.loop = Loop(make(self.trade), self.desk, self.channel, self._deliver, self.note, self.watch)
         self.service = Service(self.loop, self.desk, self.ledger, hearing.cycle, self.note)
         self.follower = self._follower(book.one(terms.Source), Random(own.seed))
         probing = book.one(terms.Probing)
         self.prober = Prober(probing.path, probing.within, probing.at_once, self.loop.tell)
+        self.operators = book.one(terms.Operators)
+        self.office = self._office()
 
     def _deliver(self, proxy: int, parcel: Any) -> None:
         self.service.deliver(proxy, parcel)
@@ -67,6 +73,30 @@
         return Watch(Judge(self.trade, obeyed), obeyed, self.note,
                      lambda refusals: self.kept.put_refusals(refusals, guarding.remember))
 
+    def _office(self) -> Office | None:
+        """The operators' endpoint; none without a token, nor without a judge. Raises TokenFault."""
+        if not self.operators.token_file or self.watch is None:
+            return None
+        watch, pins = self.watch, Pins(self.watch.judge, self.operators.longest)
+        board = Board(pins, watch.obeyed, self.loop.tell, lambda event, **said: self.note(event, **said),
+                      self.kept.put_pins, watch.record)
+        watch.after = board.review
+        return Office(read_token(Path(self.operators.token_file)), self.trade.products, board,
+                      lambda: view.tables(trio.current_time(), self.trade.products, self.desk, watch.judge, pins),
+                      lambda: {"epoch": self.epoch, "proxies": len(self.desk.seats), "workers": len(self.desk.zones),
+                               "waiting": round(self.channel.waiting), "pins": len(pins.standing)})
+
+    async def _open_office(self, nursery: trio.Nursery) -> None:
+        """Raises OSError if its port is taken."""
+        if self.office is None:
+            return
+        doors = await trio.open_tcp_listeners(self.operators.listen[1], host=self.operators.listen[0])
+        self.office_at = doors[0].socket.getsockname()[:2]
+        self.office.board.restore(trio.current_time(), self.kept.pins())
+        nursery.start_soon(self.office.board.run)
+        nursery.start_soon(http.serve, self.office.answer, doors, self.operators.quiet_most)
+        self.note("operators.ready", listen=f"{self.office_at[0]}:{self.office_at[1]}")
+
     def _follower(self, source: terms.Source, chance: Random) -> Follower:
         client = http.Client(*source.address, idle_most=1)
         state = Following(source.service, source.wait, chance.uniform)
@@ -78,6 +108,7 @@
         listeners = await trio.open_tcp_listeners(own.listen[1], host=own.listen[0])
         async with trio.open_nursery() as nursery:
             self._remember()
+            await self._open_office(nursery)
             self.loop.others = {
                 face.Probe: lambda o: nursery.start_soon(self.prober.probe, o.worker),
                 face.Follow: lambda o: nursery.start_soon(self.follower.follow, False),
@@ -140,6 +171,12 @@
         if fixed:
             self.note("reload.refused", why=f"a restart is needed for what changed in {', '.join(fixed)}")
             return
+        if self.office is not None:
+            try:
+                self.office.token = read_token(Path(self.operators.token_file))
+            except TokenFault as fault:
+                self.note("reload.refused", why=str(fault))
+                return
         outlet = fresh.one(terms.Outlet)
         self.channel.set_pace(trio.current_time(), outlet.pace or outlet.lines_per_s)
         self.loop.put.set()
@@ -154,7 +191,7 @@
         book = terms.read(path)
         log.set_up(book.one(terms.Desk).log)
         manager = Manager(path, book, make)
-    except (BookFault, KeptFault) as fault:
+    except (BookFault, KeptFault, TokenFault) as fault:
         print(f"dunlinlug: {fault}", file=sys.stderr)
         return 2
     try:
--- a/dunlinlug/manager/terms.py
+++ b/dunlinlug/manager/terms.py
@@ -91,6 +91,16 @@
     remember: Count = Count(500)
 
 
+@attrs.frozen
+class Operators:
+    """[operators]: the local HTTP endpoint; open only with a token. No pin stands for more than `longest`."""
+
+    token_file: str = ""
+    listen: Address = Address(("127.0.0.1", 18001))
+    longest: Seconds = Seconds(8 * 3600.0)
+    quiet_most: Seconds = Seconds(10.0)
+
+
 @attrs.frozen
 class Ware:
     """[product NAME]."""
@@ -109,14 +119,17 @@
 
 
 SINGLE = {"manager": Desk, "channel": Outlet, "duties": Obligations, "roster": Source, "probes": Probing,
-          "reports": Hearing, "guard": Guarding}
+          "reports": Hearing, "guard": Guarding, "operators": Operators}
 NAMED = {"product": Ware}
-OPTIONAL = frozenset({"probes", "reports", "guard"})
+OPTIONAL = frozenset({"probes", "reports", "guard", "operators"})
 
 
 def read(path: Path) -> Book:
     """The manager's file; raises BookFault."""
     book = read_book(path, SINGLE, NAMED, optional=OPTIONAL)
+    if book.one(Operators).token_file and book.one(Guarding).mode == "off":
+        raise BookFault(f"{path}:1: [operators] token_file: with [guard] mode = off no table from an operator's hand "
+                        "would be judged; take one of them out")
     if not book.many(Ware):
         raise BookFault(f"{path}:1: no [product NAME] section: at least one product is needed")
     return book
--- a/dunlinlug/manager/watch.py
+++ b/dunlinlug/manager/watch.py
@@ -15,6 +15,7 @@
                  keep: Callable[[list[dict[str, Any]]], None]) -> None:
         self.judge, self.obeyed, self.note, self.keep = judge, obeyed, note, keep
         self.count = 0
+        self.after: Callable[[float, list[Refusal]], None] | None = None  # told after each reply is judged
 
     def look(self, now: float, events: Sequence[face.Event], orders: list[face.Order],
              tell: Callable[[face.Event], None]) -> tuple[list[face.Order], list[int]]:
@@ -22,7 +23,9 @@
         self.judge.hear(now, events)
         passed, refusals = self.judge.judge(now, orders)
         if refusals:
-            self._record(refusals)
+            self.record(refusals, "module")
+        if self.after is not None:
+            self.after(now, refusals if self.obeyed else [])
         if not self.obeyed:
             return orders, []
         concerned = list[int]()
@@ -32,11 +35,12 @@
                 tell(face.Refused(refusal.order, refusal.said))  # type: ignore[arg-type]
         return passed, concerned
 
-    def _record(self, refusals: list[Refusal]) -> None:
+    def record(self, refusals: list[Refusal], source: str) -> None:
+        """Tell the log and the ring on disk; `source` is whose orders they were."""
         kept = []
         for refusal in refusals:
             self.count += 1
-            said = {"rule": refusal.rule, "order": str(refusal.order), "why": refusal.said,
+            said = {"source": source, "rule": refusal.rule, "order": str(refusal.order), "why": refusal.said,
                     "would_pass": refusal.would_pass, "proxies": list(refusal.proxies[:20]),
                     "done": "passed as the lesser harm" if refusal.passed else
                             "refused" if self.obeyed else "passed, as the guard only watches"}
--- a/dunlinlug/net/http.py
+++ b/dunlinlug/net/http.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 import h11
@@ -80,16 +81,25 @@
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
-async def _converse(handler: Handler, stream: trio.SocketStream) -> None:
+async def _request(connection: h11.Connection, stream: trio.SocketStream) -> Request | None:
+    event = await _event(connection, stream)
+    if not isinstance(event, h11.Request):
+        return None
+    path, query = _target(event.target)
+    body = await _body(connection, stream)
+    return Request(event.method.decode(), path, query, _plain(event.headers), body)
+
+
+async def _converse(handler: Handler, stream: trio.SocketStream, quiet_most: float) -> None:
     connection = h11.Connection(h11.SERVER, max_incomplete_event_size=2**16)
     try:
         while True:
-            event = await _event(connection, stream)
-            if not isinstance(event, h11.Request):
+            request = None
+            with trio.move_on_after(quiet_most):
+                request = await _request(connection, stream)
+            if request is None:
                 return
-            path, query = _target(event.target)
-            body = await _body(connection, stream)
-            reply = await handler(Request(event.method.decode(), path, query, _plain(event.headers), body))
+            reply = await handler(request)
             await stream.send_all(_written(connection, reply))
             if connection.our_state is h11.MUST_CLOSE:
                 return
@@ -112,11 +122,12 @@
     return data + (connection.send(h11.EndOfMessage()) or b"")
 
 
-async def serve(handler: Handler, listeners: list[trio.SocketListener]) -> None:
-    """Answer requests on these listeners until cancelled."""
+async def serve(handler: Handler, listeners: list[trio.SocketListener], quiet_most: float = inf) -> None:
+    """Answer requests on these listeners until cancelled; a peer that takes longer than `quiet_most` seconds to make a
+    request is disconnected."""
     async def one(stream: trio.SocketStream) -> None:
         try:
-            await _converse(handler, stream)
+            await _converse(handler, stream, quiet_most)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
--- /dev/null
+++ b/dunlinlug/operators/commands.py
@@ -0,0 +1,146 @@
+"""`dunlinlug table`: what an operator sees and says of tables."""
+
+import json
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import click
+
+from dunlinlug.commands import FILE, BadFile
+
+
+@click.group()
+def table() -> None:
+    """Tables, and what was refused of them."""
+
+
+@table.command("explain")
+@click.argument("file", type=FILE)
+@click.option("--last", default=20, help="How many refusals, the newest.")
+def table_explain(file: Path, last: int) -> None:
+    """What the guard of a manager refused, by the manager's INI file; the manager may be running or not."""
+    from dunlinlug.book import BookFault
+    from dunlinlug.manager import terms
+    from dunlinlug.manager.kept import KeptFault, refusals
+
+    try:
+        found = refusals(Path(terms.read(file).one(terms.Desk).store))
+    except (BookFault, KeptFault) as fault:
+        raise BadFile(str(fault)) from None
+    if not found:
+        click.echo("nothing was refused")
+    for refusal in found[-last:]:
+        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(refusal["wall"]))
+        click.echo(f"{at}  {refusal.get('source', 'module')}, {refusal['done']}: {refusal['order']}\n"
+                   f"    {_refusal_line(refusal)}; proxies: {refusal['proxies'] or 'all that use it'}")
+
+
+def _asked(file: Path, method: str, path: str, word: object = None) -> Any:
+    """The manager's answer; what it refuses is shown, with exit status 1."""
+    from dunlinlug.book import BookFault
+    from dunlinlug.operators.client import AskFault, ask
+
+    try:
+        return ask(file, method, path, word)
+    except BookFault as fault:
+        raise BadFile(str(fault)) from None
+    except AskFault as fault:
+        for refusal in (fault.said or {}).get("refusals", ()):
+            click.echo(_refusal_line(refusal))
+        raise click.ClickException(str(fault)) from None
+
+
+def _refusal_line(refusal: dict[str, Any]) -> str:
+    return f"{refusal['rule']}: {refusal['why']}; would pass: {refusal['would_pass']}"
+
+
+def _pin_options(command: Callable[..., None]) -> Callable[..., None]:
+    """PRODUCT and what is pinned of it."""
+    for option in (
+            click.option("--for", "lasts", required=True, help="How long, with its unit: 10min."),
+            click.option("--without", multiple=True, help="A worker not to be used; may be repeated."),
+            click.option("--only", multiple=True, help="The workers to be used; may be repeated."),
+            click.option("--weight", multiple=True, help="WORKER=WEIGHT in place of the listed one; may be repeated."),
+            click.argument("product"), click.argument("file", type=FILE)):
+        command = option(command)
+    return command
+
+
+def _word(product: str, weight: tuple[str, ...], only: tuple[str, ...], without: tuple[str, ...],
+          lasts: str) -> dict[str, object]:
+    from dunlinlug.book import units
+
+    weights = dict[str, float]()
+    for said in weight:
+        worker, _, value = said.rpartition("=")
+        if not worker or worker in weights:
+            raise click.UsageError(f"--weight {said}: it is WORKER=WEIGHT, once for each worker")
+        try:
+            weights[worker] = float(value)
+        except ValueError:
+            raise click.UsageError(f"--weight {said}: {value!r} is not a number") from None
+    try:
+        span = units.seconds(lasts)
+    except units.ValueFault as fault:
+        raise click.UsageError(f"--for: {fault}") from None
+    return {"product": product, "weights": weights, "only": list(only), "without": list(without), "lasts": span}
+
+
+@table.command("propose")
+@_pin_options
+def table_propose(file: Path, **said: Any) -> None:
+    """Ask what the guard would say of a pin; nothing changes. Exit status 1 if it would be refused."""
+    answer = _asked(file, "POST", "/pins/propose", _word(**said))
+    for refusal in answer["refusals"]:
+        click.echo(_refusal_line(refusal))
+    for caution in answer["cautions"]:
+        click.echo(f"caution: {caution}")
+    click.echo("would pass" if answer["passes"] else "would be refused")
+    sys.exit(0 if answer["passes"] else 1)
+
+
+@table.command("pin")
+@_pin_options
+def table_pin(file: Path, **said: Any) -> None:
+    """Pin a product's weights, a subset, or an exclusion for a while; the guard may refuse it (exit status 1)."""
+    answer = _asked(file, "PUT", "/pins", _word(**said))
+    for caution in answer["cautions"]:
+        click.echo(f"caution: {caution}")
+    click.echo(f"pinned {answer['pin']['product']} for {answer['pin']['ends_in']:g} s")
+
+
+@table.command("unpin")
+@click.argument("file", type=FILE)
+@click.argument("product")
+def table_unpin(file: Path, product: str) -> None:
+    """End a product's pin before its time."""
+
+    answer = _asked(file, "DELETE", f"/pins/{quote(product, safe='')}")
+    click.echo(f"ended the pin of {answer['ended']}")
+
+
+@table.command("show")
+@click.argument("file", type=FILE)
+@click.argument("product", default="")
+@click.option("--json", "as_json", is_flag=True, help="All of it, for programs.")
+def table_show(file: Path, product: str, as_json: bool) -> None:
+    """The tables that stand, by product."""
+
+    found = _asked(file, "GET", f"/tables?product={quote(product, safe='')}")
+    if as_json:
+        click.echo(json.dumps(found, indent=2))
+        return
+    for said in found:
+        pin = said["pin"]
+        click.echo(f"{said['product']}: {said['proxies']} proxies, {said['without_table']} without a table, "
+                   f"{said['in_change']} in a change" + (f"; pinned for {pin['ends_in']:.0f} s" if pin else ""))
+        for held in said["tables"]:
+            click.echo(f"  {held['table']} at {held['proxies']} proxies, lets in {held['share_let_in']:g}, "
+                       f"way of trying again {held['retry']}")
+            for line in held["lines"]:
+                state = "withdrawn" if line["withdrawn"] else line["state"]
+                click.echo(f"    {line['worker']:<22} {line['weight']:<9g} {line['zone']:<10} {state}")
--- /dev/null
+++ b/dunlinlug/operators/office.py
@@ -0,0 +1,103 @@
+"""The endpoint's requests and answers: who may ask, what may be asked. No socket here; the manager serves it.
+
+    GET /health                     no token needed
+    GET /tables[?product=NAME]      what stands, by product
+    POST /pins/propose              what the guard would say of a pin; changes nothing
+    PUT /pins, DELETE /pins/NAME    set a pin, end one
+"""
+
+import hmac
+import os
+import stat
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import unquote
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.guard import PinFault
+from dunlinlug.net.http import Reply, Request
+from dunlinlug.operators import words
+from dunlinlug.operators.board import Board, Refused
+
+SHORTEST = 16  # characters of a token: fewer can be tried out
+
+
+class TokenFault(ValueError):
+    """A token file that cannot be used; the text says why."""
+
+
+def read_token(path: Path) -> str:
+    """The token: one line of a file that only its owner may read. Raises TokenFault."""
+    try:
+        with path.open(encoding="utf-8") as file:
+            mode, token = os.fstat(file.fileno()).st_mode, file.read().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise TokenFault(f"{path}: cannot be read: {error}") from None
+    if stat.S_IMODE(mode) & 0o077:
+        raise TokenFault(f"{path}: others may read it; only its owner should (chmod 600)")
+    if len(token) < SHORTEST or not token.isascii() or len(token.split()) != 1:
+        raise TokenFault(f"{path}: a token is one word of at least {SHORTEST} letters, figures and signs")
+    return token
+
+
+def _fault(status: int, said: str, **more: Any) -> Reply:
+    return Reply.json({"error": said, **more}, status)
+
+
+class Office:
+    """`show` gives the tables of a product (or of all) as plain values."""
+
+    def __init__(self, token: str, products: tuple[face.Product, ...], board: Board,
+                 show: Callable[[], list[dict[str, Any]]], health: Callable[[], dict[str, Any]]) -> None:
+        self.token, self.products, self.board, self.show, self.health = token, products, board, show, health
+        self.names = [product.name for product in products]
+
+    def _known(self, request: Request) -> bool:
+        given = request.headers.get("authorization", "")
+        return hmac.compare_digest(given.encode(), f"Bearer {self.token}".encode())
+
+    async def answer(self, request: Request) -> Reply:
+        """One request; a mistake of the caller's is an answer, never an end of the connection."""
+        if (request.method, request.path) == ("GET", "/health"):
+            return Reply.json(self.health())
+        if not self._known(request):
+            return _fault(401, "no token, or not the right one: say authorization: Bearer TOKEN")
+        try:
+            return self._serve(request, trio.current_time())
+        except (words.WordFault, PinFault) as fault:
+            return _fault(400, str(fault))
+        except Refused as refused:
+            return _fault(409, "the guard refuses it", refusals=[words.refusal_said(r) for r in refused.refusals[:20]])
+
+    def _serve(self, request: Request, now: float) -> Reply:
+        match request.method, request.path.strip("/").split("/"):
+            case "GET", ["tables"]:
+                return self._tables(unquote(request.query.get("product", "")))
+            case "POST", ["pins", "propose"]:
+                refusals, cautions = self.board.propose(now, words.read_pin(request.body, self.products, now))
+                return Reply.json({"passes": not refusals, "cautions": cautions,
+                                   "refusals": [words.refusal_said(r) for r in refusals[:20]]})
+            case "PUT", ["pins"]:
+                pin = words.read_pin(request.body, self.products, now)
+                return Reply.json({"pin": words.pin_said(pin, self.products, now),
+                                   "cautions": self.board.put(now, pin)})
+            case "DELETE", ["pins", name]:
+                return self._unpin(unquote(name), now)
+            case _, ["tables"] | ["pins"] | ["pins", _]:
+                return _fault(405, f"{request.method} is not served at {request.path}")
+        return _fault(404, f"nothing at {request.path}")
+
+    def _tables(self, product: str) -> Reply:
+        if product and product not in self.names:
+            return _fault(404, f"unknown product {product!r}; known are {', '.join(self.names)}")
+        return Reply.json([said for said in self.show() if product in ("", said["product"])])
+
+    def _unpin(self, name: str, now: float) -> Reply:
+        if name not in self.names:
+            return _fault(404, f"unknown product {name!r}; known are {', '.join(self.names)}")
+        if not self.board.take(now, self.names.index(name)):
+            return _fault(404, f"no pin stands for {name}")
+        return Reply.json({"ended": name})
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,17 +1,23 @@
 """Whole days through real sockets, judged from the stand-ins' records."""
 
+import json
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from random import Random
+from typing import Any
 
 import pytest
 import trio
 
 from dunlinlug.audit import figures, records, rules
-from dunlinlug.day.play import MANAGER, DayFault, Player
+from dunlinlug.book import units
+from dunlinlug.day.play import MANAGER, DayFault, Places, Player
 from dunlinlug.manager.kept import refusals
+from dunlinlug.net import http
 
 DAYS = Path(__file__).parent.parent / "days"
+TOKEN = "a-token-of-the-tests"
 SHIPPED = sorted(path.stem for path in DAYS.glob("*.ini"))
 
 
@@ -48,16 +54,17 @@
     ("repeats = referenced\ngroup = zone\nwindow = 1200ms", "repeats = once-only"),
     ("txns_per_s = 40/s", "txns_per_s = 200/s"), ("work = 60ms", "work = 50ms"),
     ("part = 30%\nsize = 2", "part = 30%\nsize = 2\n\n[trouble lost]\nkind = answers_lost\nat = 1s\nlasts = 6s\n"
-                             "part = 30%\nsize = 1"),
+                             "part = 30%"),
 )
 GUARDED = ("", "ramp", "retries", "tables")  # what the guard must stop; it hears the list itself, not the module's lie
 CAUGHT = {"": "", "withdrawals": "drain", "ramp": "pushed", "retries": "twice", "tables": "bare", "pace": "queue"}
 
 
-async def hard_days(folder: Path, guard: str, ways: Sequence[str]) -> dict[str, set[str]]:
+async def hard_days(folder: Path, guard: str, ways: Sequence[str],
+                    changes: Sequence[tuple[str, str]] = ()) -> dict[str, set[str]]:
     """The rules broken on the hard day, by the way in which its manager is broken."""
     text = (DAYS / "first.ini").read_text() + f"\n[guard]\nmode = {guard}\n"
-    for old, new in CHANGES:
+    for old, new in [*CHANGES, *changes]:
         assert old in text, old
         text = text.replace(old, new)
     (folder / "hard.ini").write_text(text)
@@ -91,6 +98,53 @@
         assert all(refusal["why"] and refusal["would_pass"] for refusal in said)
 
 
+async def operate(place: str, seen: list[tuple[int, str]]) -> None:
+    """An operator's slips all day: each worker that has come back a moment ago is to carry everything alone;
+    and between them pins that are good."""
+    client, known, chance = http.Client(*units.address(place)), set[str](), Random(place)
+    away = set[str]()
+
+    async def say(method: str, path: str, body: object = None) -> Any:
+        with trio.move_on_after(2.0):
+            try:
+                reply = await client.ask(method, path, {"authorization": f"Bearer {TOKEN}"}, json.dumps(body).encode())
+            except http.HttpFault:
+                return None  # before its start, or after its end
+            if method == "PUT":
+                seen.append((reply.status, reply.body.decode()))
+            return json.loads(reply.body) if reply.status == 200 else None
+
+    while True:
+        await trio.sleep(0.1)
+        shown = await say("GET", "/tables")
+        ready = {line["worker"] for said in shown or () for held in said["tables"] for line in held["lines"]
+                 if line["state"] == "ready"}
+        known, fresh = known | ready, sorted(away & ready) if shown else []
+        away = known - ready if shown else away
+        for worker in fresh:
+            for product in ("press-book", "ticket-read"):
+                await say("PUT", "/pins", {"product": product, "lasts": 6, "only": [worker]})
+        if ready and not fresh and chance.random() < 0.1:
+            one = chance.choice(sorted(ready))
+            await say("PUT", "/pins", {"product": "ticket-read", "lasts": 0.5, "without": [one]})
+
+
+async def test_the_guard_stops_an_operators_slips_beside_a_careless_module(tmp_path: Path) -> None:
+    """The hard day that `ramp` breaks with the guard off, above, and now pins of the cold as well."""
+    seen, place, token = list[tuple[int, str]](), Places().take(), tmp_path / "token"
+    token.write_text(TOKEN)
+    token.chmod(0o600)
+    changes = [("[roster]", f"[operators]\ntoken_file = {token}\nlisten = {place}\n\n[roster]")]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operate, place, seen)
+        assert await hard_days(tmp_path, "on", ["ramp"], changes) == {"ramp": set()}
+        nursery.cancel_scope.cancel()
+    assert {status for status, _ in seen} == {200, 409}
+    assert all("would_pass" in body for status, body in seen if status == 409)
+    said = refusals(tmp_path / "way-ramp" / "store")
+    assert {refusal["source"] for refusal in said} >= {"operator", "module"}
+
+
 async def test_a_day_whose_manager_cannot_start_fails_and_says_so(tmp_path: Path) -> None:
     with pytest.raises(DayFault, match="manager ended during the day"):
         await play(DAYS / "first.ini", tmp_path, (sys.executable, "-c", "raise SystemExit(3)"))
