--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -241,6 +241,7 @@
         self.ask_at, self.ask_wait = -inf if trade.must_ask else inf, self.ASK_WAIT
         self.noted, self.told = dict[int, float](), False
         self.barred: dict[int, float] = {}  # by worker, until when what was refused of it stays so
+        self.kept: dict[int, float] = {}  # by product, until when levels stay after one was refused
         self.pins: dict[int, face.Pinned] = {}  # by product, an operator's word
 
     # Events: what is known.
@@ -317,6 +318,11 @@
                 i = self.fleet.index[worker]
                 (self.out.discard if out else self.out.add)(i)
                 self.barred[i] = now + self.RAISE
+            case face.Admit(tbl, k) if k < self.products:
+                self.kept[k] = now + self.RAISE
+                for table in tables:
+                    if table.number == tbl:
+                        table.levels[k] = table.were.get(k, (self.all_in, self.usual_retry))
             case face.Clear(tbl):
                 self.numbers.add(tbl)  # Danger: a number in use would be given out again
 
@@ -462,8 +468,9 @@
             for k, held in proxy.holds.items():
                 users.setdefault((k, held[-1][0]), {})[p] = 1.0
         for (k, table), cost in users.items():
-            if table.levels[k] != wanted.levels[k] and spend(cost, 2, 4 * self.TURN):
-                table.levels[k] = wanted.levels[k]
+            stays = table.levels[k] == wanted.levels[k] or now < self.kept.get(k, 0.0)
+            if not stays and spend(cost, 2, 4 * self.TURN):
+                table.were[k], table.levels[k] = table.levels[k], wanted.levels[k]
                 orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
         # Changes, the largest of weight first, laid where nobody is bound. Departure: where all tables to all
         # proxies exceed a turn's drain, equal products share one, and only its differences go (paper, V-G).
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -46,6 +46,7 @@
     parts: dict[int, float]
     levels: list[tuple[float, int]]  # by product the share let in, and the way of trying again
     clear_at: float = inf
+    were: dict[int, tuple[float, int]] = field(default_factory=dict)  # levels before those ordered last
 
 
 @dataclass(eq=False)
