Three managers take over from each other over sockets: shared batches, fence, leases

A master sends each batch of its module to the others and lets parcels leave once a majority has it and its lease holds; standbys run the same batches, so that tables, numbers, marks, health and ramps are theirs too; who lags gets the whole by msgpack, of known classes alone. Members' frames are sealed with keyed BLAKE2b on a nonce. Proxies keep a call open at each member, of which the master's is answered; responses bear the term, and proxies refuse a lower one. A manager without [succession] goes on as it was.

Seen over sockets: a cut-off master stops by its lease, another binds the proxies, drains told before it stay drained. Eight runs of the module from the whole order the same as the original for 200 batches.

--- a/dunlinlug/guard/judge.py
+++ b/dunlinlug/guard/judge.py
@@ -59,6 +59,13 @@
                     if self._cold(now, worker.id):
                         self.recent[worker.id] = None
 
+    def inherit(self, now: float, workers: Iterable[face.Worker], tables: dict[
+            int, tuple[dict[str, float], dict[int, tuple[int, float]]]], out: set[str]) -> None:
+        """Go on where another manager stood: its list, its tables by number (lines and levels), who is out."""
+        self.hear(now, [face.Listed("whole", tuple(workers))])
+        self.holdings.tables = {tbl: Table(dict(lines), dict(levels)) for tbl, (lines, levels) in tables.items()}
+        self.holdings.out = set(out)
+
     def ready(self, worker: str) -> bool:
         return worker in self.listed and self.listed[worker].state == "ready"
 
--- a/dunlinlug/manager/channel.py
+++ b/dunlinlug/manager/channel.py
@@ -56,6 +56,12 @@
         self.waiting = sum(parcel.lines for _, parcel in kept)
         self.written.pop(proxy, None)
 
+    def clear(self) -> None:
+        """We order nothing any more: what waits is lost."""
+        self.queue.clear()
+        self.written.clear()
+        self.waiting = 0.0
+
     def set_pace(self, now: float, pace: float) -> None:
         """A new pace, also for the rest of the message at the head."""
         self.free_at = now + max(self.free_at - now, 0.0) * self.pace / pace
--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -48,6 +48,12 @@
         self.users: dict[int, dict[int, None]] = {}  # by table the proxies bound to it, in the order they were
         self._start()
 
+    def restore(self, epoch: int, tables: dict[int, Laid], out: set[str], zones: dict[str, str]) -> None:
+        """Stand where another manager stood; nobody is joined."""
+        self.epoch, self.tables, self.out, self.zones = epoch, tables, out, zones
+        self.seats, self.users = {}, {}
+        self._start()
+
     def _start(self) -> None:
         self.touched: dict[int, float] = {}  # lines by proxy in the reply at hand
         self.resent: dict[int, set[int]] = {}  # table numbers by proxy, to be sent anew
--- a/dunlinlug/manager/loop.py
+++ b/dunlinlug/manager/loop.py
@@ -20,8 +20,21 @@
     def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]: ...
 
 
+class Leading(Protocol):
+    """Where several managers take over from each other: whether this one may order, and who else has a batch."""
+
+    def leads(self, now: float) -> bool: ...
+
+    def share(self, now: float, events: Sequence[face.Event], left_out: list[int]) -> int:
+        """Send a batch to the others; gives its number."""
+
+    def hold(self, number: int, parcels: dict[int, Parcel]) -> None:
+        """Parcels that may leave once a majority has this batch."""
+
+
 class Loop:
-    """One module, one queue of events. Other parts `tell` it and are handed orders by their kind."""
+    """One module, one queue of events. Other parts `tell` it and are handed orders by their kind. Module, timers and
+    events live on `clock`: trio's, plus `shift` after a succession."""
 
     def __init__(self, module: Decider, desk: Desk, channel: Channel, deliver: Callable[[int, Parcel], None],
                  note: Callable[..., None], watch: Watch | None = None) -> None:
@@ -32,6 +45,8 @@
         self.timers: list[tuple[float, int]] = []
         self.others: dict[type, Callable[[Any], None]] = {}  # by kind, who carries out orders not for proxies
         self.batches = 0
+        self.shift = 0.0
+        self.leading: Leading | None = None
 
     def tell(self, event: face.Event) -> None:
         self.inbox.append(event)
@@ -41,15 +56,21 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pace)
             while True:
-                with trio.move_on_at(self.timers[0][0] if self.timers else float("inf")):
+                with trio.move_on_at(self._next_at()):
                     await self.come.wait()
                 self.turn(trio.current_time())
                 await trio.sleep(0)  # whatever else is ready runs before the next turn
 
+    def _next_at(self) -> float:
+        leads = self.leading is None or self.leading.leads(trio.current_time())
+        return self.timers[0][0] - self.shift if self.timers and leads else float("inf")
+
     def turn(self, now: float) -> None:
         """One batch: due timers and all that came, to the module; its orders to whoever they are for."""
         events, self.inbox, self.come = self.inbox, [], trio.Event()
-        while self.timers and self.timers[0][0] <= now:
+        if self.leading is not None and not self.leading.leads(now):
+            return  # Danger: thawed after our lease: what came meanwhile is for another to decide
+        while self.timers and self.timers[0][0] <= now + self.shift:
             events.append(face.Rung(heapq.heappop(self.timers)[1]))
         if not events:
             return
@@ -57,21 +78,45 @@
         for event in events:
             if isinstance(event, face.Listed):
                 self.desk.listed(event.workers)
-        orders, concerned = self.module.decide(now, events), list[int]()
+        decided, concerned = self.module.decide(now + self.shift, events), list[int]()
+        orders = decided
         if self.watch is not None:
-            orders, concerned = self.watch.look(now, events, orders, self.tell)
+            orders, concerned = self.watch.look(now + self.shift, events, decided, self.tell)
         parcels = self.desk.obey(orders, now, concerned)
+        if self.leading is None:
+            self.release(now, parcels)
+        else:
+            passed = set(map(id, orders))
+            left_out = [n for n, order in enumerate(decided) if id(order) not in passed]
+            self.leading.hold(self.leading.share(now, events, left_out), parcels)
+        self._carry_out(now, orders)
+        self._explain(events, orders, parcels)
+
+    def release(self, now: float, parcels: dict[int, Parcel]) -> None:
+        """Into the channel, in order."""
         for proxy, parcel in parcels.items():
             for bound in self.channel.put(now, proxy, parcel):
                 self.note("channel.over", bound=bound, proxy=proxy, waiting=round(self.channel.waiting))
-        self._carry_out(now, orders)
-        self._explain(events, orders, parcels)
         self.put.set()
 
+    def follow(self, now: float, events: Sequence[face.Event], left_out: Sequence[int]) -> None:
+        """A batch of another manager's, at its time: what is known and wanted comes to be the same; nothing leaves."""
+        self.shift = max(self.shift, now - trio.current_time())
+        rung = {event.token for event in events if isinstance(event, face.Rung)}
+        self.timers = [timer for timer in self.timers if timer[1] not in rung]
+        for event in events:
+            if isinstance(event, face.Listed):
+                self.desk.listed(event.workers)
+        orders = self.module.decide(now, events)
+        passed = [order for n, order in enumerate(orders) if n not in left_out]
+        self.desk.obey(passed, trio.current_time())
+        self.timers += [(now + order.after, order.token) for order in passed if isinstance(order, face.Wake)]
+        heapq.heapify(self.timers)
+
     def _carry_out(self, now: float, orders: Sequence[face.Order]) -> None:
         for order in orders:
             if isinstance(order, face.Wake):
-                heapq.heappush(self.timers, (now + order.after, order.token))
+                heapq.heappush(self.timers, (now + self.shift + order.after, order.token))
             elif isinstance(order, face.Note):
                 self.note("module.note", text=order.text)
             elif type(order) in self.others:
--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -19,6 +19,7 @@
 from dunlinlug.manager import log, terms
 from dunlinlug.manager.channel import Channel
 from dunlinlug.manager.desk import Desk
+from dunlinlug.manager.helm import Helm
 from dunlinlug.manager.kept import Kept, KeptFault
 from dunlinlug.manager.ledger import Ledger
 from dunlinlug.manager.loop import Decider, Loop
@@ -32,6 +33,7 @@
 from dunlinlug.operators.office import Office, TokenFault, read_token
 from dunlinlug.roster import entries
 from dunlinlug.roster.follow import Following
+from dunlinlug.succession.codec import KeyFault, read_keys
 
 
 def wall_offset() -> float:
@@ -61,8 +63,13 @@
         self.prober = Prober(probing.path, probing.within, probing.at_once, self.loop.tell)
         self.operators = book.one(terms.Operators)
         self.office = self._office()
+        self.helm = self._helm(book.one(terms.Succession), Random(f"{own.seed} {book.one(terms.Succession).member}"))
+        self.leading = set[trio.CancelScope]()  # of what only a master does
 
     def _deliver(self, proxy: int, parcel: Any) -> None:
+        # Danger: frozen since it was decided; the lease is looked at right before the bytes leave.
+        if self.helm is not None and not self.helm.leads(trio.current_time()):
+            return
         self.service.deliver(proxy, parcel)
 
     def _watch(self) -> Watch | None:
@@ -73,6 +80,51 @@
         return Watch(Judge(self.trade, obeyed), obeyed, self.note,
                      lambda refusals: self.kept.put_refusals(refusals, guarding.remember))
 
+    def _helm(self, own: terms.Succession, chance: Random) -> Helm | None:
+        """Our part in a set of managers; none if we stand alone. Raises KeyFault."""
+        if not own.member:
+            return None
+        members = self.book.many(terms.Member)
+        places: dict[str, tuple[str, int]] = {name: member.peers for name, member in members.items()}
+        timing = {"lease": own.lease, "beat": own.beat, "drift": own.drift, "forgets": own.forgets}
+        helm = Helm(own.member, places, read_keys(Path(own.key_file)), timing, own.first, self.kept, self.trade,
+                    self.loop, self.desk, self.service, chance, lambda event, **said: self.note(event, **said))
+        helm.begin, helm.end = self._begin, self._end
+        if self.office is not None:
+            board = self.office.board
+            helm.pins, helm.pinned = board.plain, board.take_over
+        return helm
+
+    def _begin(self, fresh: bool) -> None:
+        """We lead: judge anew by what stands, follow the roster, and go on where the former master was."""
+        if self.watch is not None:
+            judge = Judge(self.trade, self.watch.obeyed)
+            workers = self.loop.module.fleet.listed() if isinstance(self.loop.module, Balancer) else []
+            judge.inherit(self.loop.shift + trio.current_time(), workers, {
+                tbl: (laid.lines, laid.levels) for tbl, laid in self.desk.tables.items()}, self.desk.out)
+            self.watch.judge = judge
+            if self.office is not None:
+                self.office.board.pins.judge = judge
+        if fresh:
+            self._remember()
+            if self.office is not None:
+                self.office.board.restore(trio.current_time(), self.kept.pins())
+        self.follower.known = None
+        if self.book.one(terms.Source).mode == "pushed":
+            self.nursery.start_soon(self._only_leading, self.follower.follow, True)
+        elif not fresh:
+            self.loop.tell(face.Listed("failed"))  # what the former master asked for does not come to us
+
+    def _end(self) -> None:
+        for scope in self.leading:
+            scope.cancel()
+
+    async def _only_leading(self, task: Callable[..., Any], *words: Any) -> None:
+        with trio.CancelScope() as scope:
+            self.leading.add(scope)
+            await task(*words)
+        self.leading.discard(scope)
+
     def _office(self) -> Office | None:
         """The operators' endpoint; none without a token, nor without a judge. Raises TokenFault."""
         if not self.operators.token_file or self.watch is None:
@@ -92,7 +144,8 @@
             return
         doors = await trio.open_tcp_listeners(self.operators.listen[1], host=self.operators.listen[0])
         self.office_at = doors[0].socket.getsockname()[:2]
-        self.office.board.restore(trio.current_time(), self.kept.pins())
+        if self.helm is None:
+            self.office.board.restore(trio.current_time(), self.kept.pins())
         nursery.start_soon(self.office.board.run)
         nursery.start_soon(http.serve, self.office.answer, doors, self.operators.quiet_most)
         self.note("operators.ready", listen=f"{self.office_at[0]}:{self.office_at[1]}")
@@ -100,22 +153,29 @@
     def _follower(self, source: terms.Source, chance: Random) -> Follower:
         client = http.Client(*source.address, idle_most=1)
         state = Following(source.service, source.wait, chance.uniform)
-        return Follower(client, state, source.within, wall_offset, self.loop.tell, self.kept.put_list, self.note)
+        return Follower(client, state, source.within, lambda: wall_offset() + self.loop.shift, self.loop.tell,
+                        self.kept.put_list, self.note)
 
     async def run(self, task_status: trio.TaskStatus[tuple[str, int]] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until SIGTERM or SIGINT; raises OSError if the port is taken."""
         own, source = self.book.one(terms.Desk), self.book.one(terms.Source)
         listeners = await trio.open_tcp_listeners(own.listen[1], host=own.listen[0])
         async with trio.open_nursery() as nursery:
-            self._remember()
+            self.nursery = nursery
             await self._open_office(nursery)
+            if self.helm is None:
+                self._remember()
+            else:
+                doors = await trio.open_tcp_listeners(self.helm.peers.places[self.helm.me][1],
+                                                      host=self.helm.peers.places[self.helm.me][0])
+                nursery.start_soon(self.helm.run, doors)
             self.loop.others = {
                 face.Probe: lambda o: nursery.start_soon(self.prober.probe, o.worker),
-                face.Follow: lambda o: nursery.start_soon(self.follower.follow, False),
-                face.Fetch: lambda o: nursery.start_soon(self.follower.fetch)}
+                face.Follow: lambda o: nursery.start_soon(self._only_leading, self.follower.follow, False),
+                face.Fetch: lambda o: nursery.start_soon(self._only_leading, self.follower.fetch)}
             nursery.start_soon(self.loop.run)
             nursery.start_soon(self.service.tell_reports)
-            if source.mode == "pushed":
+            if source.mode == "pushed" and self.helm is None:
                 nursery.start_soon(self.follower.follow, True)
             nursery.start_soon(grpc.serve, listeners, self.service.answer, own.hello_within, own.quiet_most,
                                self._link_fault)
@@ -132,7 +192,7 @@
         body = self.kept.body()
         if body is not None:
             try:
-                workers, _ = entries.read(body, wall_offset())
+                workers, _ = entries.read(body, wall_offset() + self.loop.shift)
             except entries.RosterFault as fault:
                 self.note("store.fault", why=str(fault))
         self.loop.tell(face.Listed("kept", tuple(workers)))
@@ -191,7 +251,7 @@
         book = terms.read(path)
         log.set_up(book.one(terms.Desk).log)
         manager = Manager(path, book, make)
-    except (BookFault, KeptFault, TokenFault) as fault:
+    except (BookFault, KeptFault, TokenFault, KeyFault) as fault:
         print(f"dunlinlug: {fault}", file=sys.stderr)
         return 2
     try:
--- a/dunlinlug/manager/service.py
+++ b/dunlinlug/manager/service.py
@@ -24,7 +24,20 @@
     def __init__(self, loop: Loop, desk: Desk, ledger: Ledger, cycle: float, note: Callable[..., None]) -> None:
         self.loop, self.desk, self.ledger, self.cycle, self.note = loop, desk, ledger, cycle, note
         self.numbers: dict[str, int] = {}
+        self.fresh: dict[str, int] = {}  # numbers given since they were last taken
         self.sessions: dict[int, Session] = {}
+        self.open = trio.Event()  # while not set, calls wait: another manager is master
+        self.open.set()
+        self.control, self.term = "dunlinlug", 0
+        self.fenced: Callable[[int], None] = lambda term: None  # told of a higher term than ours
+
+    def close(self, why: str) -> None:
+        """Another is master: every stream ends, and new ones wait."""
+        self.open = trio.Event()
+        for session in list(self.sessions.values()):
+            self._leave(session)
+            session.call.finish(Status.UNAVAILABLE, why)
+            session.call.scope.cancel()
 
     async def answer(self, call: Call) -> None:
         """One call, to its end."""
@@ -45,7 +58,9 @@
             session.owe(parcel)
 
     async def _ads(self, call: Call) -> None:
+        await self.open.wait()  # the first headers tell a proxy that this manager leads
         stream, session = DeltaStream(), None
+        stream.control = self.control
         call.accept()
         try:
             async with trio.open_nursery() as nursery:
@@ -53,7 +68,7 @@
                     data = await call.receive()
                     for word in stream.receive(data):
                         if isinstance(word, Greeted):
-                            self._number(word.node)
+                            self._greeted(word.node, stream)
                         elif session is not None:
                             session.said(word, trio.current_time())
                     if session is None and set(stream.subscribed) == {names.ENDPOINTS, names.ROUTES}:
@@ -70,11 +85,17 @@
             if session is not None:
                 self._leave(session)
 
+    def _greeted(self, node: str, stream: DeltaStream) -> None:
+        seen = stream.metadata.get("term", 0)
+        if isinstance(seen, int | float) and seen > self.term:
+            self.fenced(int(seen))
+        self._number(node)
+
     def _number(self, node: str) -> None:
         if node not in self.numbers:
             if len(self.numbers) >= MOST:
                 raise StreamFault("no room for more proxies")
-            self.numbers[node] = len(self.numbers)
+            self.numbers[node] = self.fresh[node] = len(self.numbers)
 
     def _join(self, call: Call, stream: DeltaStream) -> Session:
         proxy, now = self.numbers[stream.node], trio.current_time()
@@ -85,6 +106,7 @@
             former.call.scope.cancel()
         held = stream.held[names.ENDPOINTS]
         session = self.sessions[proxy] = Session(proxy, call, stream, now, self.loop.tell, self.note)
+        session.fenced = self.fenced
         self.desk.join(proxy, names.OVERLAY in stream.features, held)
         rate = stream.metadata.get("txns_per_s", 0.0)
         self.loop.tell(face.Joined(proxy, stream.zone, float(rate) if isinstance(rate, int | float) else 0.0,
@@ -102,6 +124,7 @@
             self.note("proxy.left", proxy=session.stream.node, number=session.proxy)
 
     async def _lrs(self, call: Call) -> None:
+        await self.open.wait()
         call.accept()
         node = ""
         while True:
--- a/dunlinlug/manager/session.py
+++ b/dunlinlug/manager/session.py
@@ -9,6 +9,7 @@
 from dunlinlug import interface as face
 from dunlinlug.manager.parcel import Parcel
 from dunlinlug.net.grpc import Call
+from dunlinlug.succession import fence
 from dunlinlug.xds import names
 from dunlinlug.xds.render import Resource
 from dunlinlug.xds.stream import Acked, DeltaStream, Refused
@@ -37,6 +38,7 @@
         self.by_nonce: dict[str, tuple[Flight, tuple[Resource, ...]]] = {}
         self.refused: dict[str, str] = {}  # resource to the version that the proxy would not take
         self.wake = trio.Event()
+        self.fenced: Callable[[int], None] = lambda term: None
 
     def owe(self, parcel: Parcel) -> None:
         """Add a parcel; with one still unsent the two become one."""
@@ -92,6 +94,9 @@
         flight.nonces.discard(word.nonce)
         if isinstance(word, Refused):
             flight.refused = True
+            if term := fence.refused_for(word.why):
+                self.fenced(term)
+                return
             fresh = {r.name: r.version for r in resources}
             if any(self.refused.get(name) != version for name, version in fresh.items()):
                 self.note("proxy.refused", proxy=self.stream.node, resources=sorted(fresh), why=word.why)
--- a/dunlinlug/manager/terms.py
+++ b/dunlinlug/manager/terms.py
@@ -101,6 +101,35 @@
     quiet_most: Seconds = Seconds(10.0)
 
 
+@attrs.frozen
+class Succession:
+    """[succession]: this manager's part in a set that takes over from each other; without `member` it stands alone.
+    Promises hold for `lease`; clocks go at most `drift` faster or slower than true time. `first` are the members that
+    the set begins with, if not all."""
+
+    member: str = ""
+    key_file: str = ""
+    lease: Seconds = Seconds(1.0)
+    beat: Seconds = Seconds(0.2)
+    drift: Share = Share(0.02)
+    forgets: Seconds = Seconds(10.0)
+    first: Words = Words(())
+
+    def __attrs_post_init__(self) -> None:
+        if self.member and not self.key_file:
+            raise ValueError("member needs a key_file: members prove who they are")
+        if not 0 < 3 * self.beat <= self.lease or self.drift > 0.2:
+            raise ValueError("beat is to be at most a third of lease, so that one may be lost; drift at most 20%")
+
+
+@attrs.frozen
+class Member:
+    """[member NAME]: where the set's members hear each other, and where they serve proxies."""
+
+    peers: Address
+    serves: Address
+
+
 @attrs.frozen
 class Ware:
     """[product NAME]."""
@@ -119,9 +148,10 @@
 
 
 SINGLE = {"manager": Desk, "channel": Outlet, "duties": Obligations, "roster": Source, "probes": Probing,
-          "reports": Hearing, "guard": Guarding, "operators": Operators}
-NAMED = {"product": Ware}
-OPTIONAL = frozenset({"probes", "reports", "guard", "operators"})
+          "reports": Hearing, "guard": Guarding, "operators": Operators,
+          "succession": Succession}
+NAMED = {"product": Ware, "member": Member}
+OPTIONAL = frozenset({"probes", "reports", "guard", "operators", "succession"})
 
 
 def read(path: Path) -> Book:
@@ -130,6 +160,9 @@
     if book.one(Operators).token_file and book.one(Guarding).mode == "off":
         raise BookFault(f"{path}:1: [operators] token_file: with [guard] mode = off no table from an operator's hand "
                         "would be judged; take one of them out")
+    own = book.one(Succession).member
+    if own and own not in book.many(Member):
+        raise BookFault(f"{path}:1: [succession] member: no [member {own}] section says where it is")
     if not book.many(Ware):
         raise BookFault(f"{path}:1: no [product NAME] section: at least one product is needed")
     return book
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -28,6 +28,7 @@
         self.link, self.stream, self.path = link, stream, path
         self.inlet, self.outlet = trio.open_memory_channel[bytes](AHEAD)
         self.ended: CallEnded | None = None
+        self.opened = trio.Event()  # client side: the server's first headers have come, or it has ended
         self.scope = trio.CancelScope()
 
     async def receive(self) -> bytes:
@@ -67,6 +68,7 @@
 
     def end(self, status: int | None, why: str) -> None:
         self.ended = self.ended or CallEnded(status, why)
+        self.opened.set()
         self.inlet.close()
 
 
@@ -159,6 +161,8 @@
                     self._over(stream, None, "flooded")
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     return
+            case rpc.Opened(stream) if stream in self.calls:
+                self.calls[stream].opened.set()
             case rpc.HalfClosed(stream):
                 self._over(stream, None, "the peer ended the call")
             case rpc.Reset(stream, why):
--- a/dunlinlug/operators/board.py
+++ b/dunlinlug/operators/board.py
@@ -72,10 +72,25 @@
         return Refusal(face.Bind(0, (end.pin.product,), 0), "bare", f"the pin of {self.names[end.pin.product]} was "
                        f"lifted: {end.why}", "a pin that names workers which may be used")
 
+    def plain(self) -> list[dict[str, Any]]:
+        """All that stand, with wall times, which outlive a process."""
+        wall = time.time() - trio.current_time()
+        return [{"product": self.names[pin.product], "weights": dict(pin.weights), "others": pin.others,
+                 "until": round(pin.until + wall, 1)} for pin in self.pins.standing.values()]
+
     def _keep(self, now: float) -> None:
-        wall = time.time() - now
-        self.keep([{"product": self.names[pin.product], "weights": dict(pin.weights), "others": pin.others,
-                    "until": pin.until + wall} for pin in self.pins.standing.values()])
+        self.keep(self.plain())
+        self.changed.set()
+
+    def take_over(self, kept: list[dict[str, Any]]) -> None:
+        """Those of another manager, whose module has told ours already."""
+        self.pins.standing.clear()
+        wall = time.time() - trio.current_time()
+        for said in kept:
+            if said["product"] in self.names:
+                self.pins.put(Pin(self.names.index(said["product"]), said["weights"], said["others"],
+                                  said["until"] - wall))
+        self.keep(kept)
         self.changed.set()
 
     def restore(self, now: float, kept: list[dict[str, Any]]) -> None:
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -36,6 +36,11 @@
             self.since[i] = max(since, self.since[i])
         return fresh
 
+    def listed(self) -> list[face.Worker]:
+        """The list as known."""
+        return [face.Worker(key, self.zones[i], "", 0, "ready" if self.ready[i] else "gone", self.weight[i],
+                            self.since[i]) for key, i in self.index.items()]
+
 
 @dataclass(eq=False)
 class Table:
--- /dev/null
+++ b/dunlinlug/succession/codec.py
@@ -0,0 +1,114 @@
+"""Members' messages on the wire: msgpack in sealed frames. Free of I/O.
+
+A member dials each other one and sends; who is dialled only listens. The listener says a nonce first; each frame is its
+length, a number that counts up, the key's short name, a keyed BLAKE2b over nonce, number and body, and the body. So a
+frame of another connection, or one twice, is refused. Two keys are valid at a time: the first signs.
+"""
+
+import hmac
+import re
+import struct
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+import msgpack
+
+from dunlinlug.succession import words
+
+NONCE, MAC, NAME = 16, 32, 4
+LARGEST = 2**26  # bytes of a frame: the whole of five hundred proxies and two thousand workers is a tenth of it
+HEAD = struct.Struct(f">IQ{NAME}s{MAC}s")
+KINDS = {kind.__name__: kind for kind in
+         (words.Ask, words.Answer, words.Beat, words.Whole, words.Heard, words.Pass)}
+
+
+class Forged(Exception):
+    """A frame that no valid key has signed, or that is not in its order."""
+
+
+class KeyFault(ValueError):
+    """A key file that cannot be used; the text says why."""
+
+
+def read_keys(path: Path) -> list[bytes]:
+    """One or two lines of 64 hexadecimal figures; the first signs, both are accepted. Raises KeyFault."""
+    try:
+        mode, lines = path.stat().st_mode, path.read_text(encoding="ascii").split()
+    except (OSError, UnicodeDecodeError) as error:
+        raise KeyFault(f"{path}: cannot be read: {error}") from None
+    if mode & 0o077:
+        raise KeyFault(f"{path}: others may read it; only its owner should (chmod 600)")
+    if not 1 <= len(lines) <= 2 or not all(re.fullmatch("[0-9a-fA-F]{64}", line) for line in lines):
+        raise KeyFault(f"{path}: one or two keys of 64 hexadecimal figures, a line each")
+    return [bytes.fromhex(line) for line in lines]
+
+
+def _name(key: bytes) -> bytes:
+    return blake2b(b"name", key=key, digest_size=NAME).digest()
+
+
+def _mac(key: bytes, nonce: bytes, number: int, body: bytes) -> bytes:
+    return blake2b(nonce + number.to_bytes(8, "big") + body, key=key, digest_size=MAC).digest()
+
+
+def pack(message: words.Message) -> bytes:
+    fields = {key: list(vars(value).values()) if isinstance(value, words.Roll) else value
+              for key, value in vars(message).items()}
+    made: bytes = msgpack.packb([type(message).__name__, fields])
+    return made
+
+
+def unpack(body: bytes) -> words.Message:
+    """Raises Forged for what this version does not say."""
+    try:
+        name, fields = msgpack.unpackb(body)
+        for key in ("position", "base"):
+            if key in fields:
+                term, number = fields[key]
+                fields[key] = (int(term), int(number))
+        if "roll" in fields:
+            version, members = fields["roll"]
+            fields["roll"] = words.Roll(int(version), tuple(str(m) for m in members))
+        if "entries" in fields:
+            fields["entries"] = tuple(bytes(entry) for entry in fields["entries"])
+        fields["term"], fields["sender"] = int(fields["term"]), str(fields["sender"])
+        made: Any = KINDS[name](**fields)
+        return made
+    except (ValueError, TypeError, KeyError, AttributeError, msgpack.UnpackException) as fault:
+        raise Forged(f"not a message: {type(fault).__name__}") from None
+
+
+class Sealer:
+    def __init__(self, key: bytes, nonce: bytes) -> None:
+        self.key, self.nonce, self.number = key, nonce, 0
+
+    def frame(self, message: words.Message) -> bytes:
+        body = pack(message)
+        self.number += 1
+        return HEAD.pack(len(body), self.number, _name(self.key), _mac(self.key, self.nonce, self.number, body)) + body
+
+
+class Opener:
+    """Bytes in, messages out. Raises Forged; the connection is then to be ended."""
+
+    def __init__(self, keys: list[bytes], nonce: bytes) -> None:
+        self.keys, self.nonce, self.number = {_name(key): key for key in keys}, nonce, 0
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[words.Message]:
+        self.buffer += data
+        found = []
+        while len(self.buffer) >= HEAD.size:
+            length, number, name, mac = HEAD.unpack_from(self.buffer)
+            if length > LARGEST or name not in self.keys or number != self.number + 1:
+                raise Forged("an unknown key" if name not in self.keys else "a frame out of order or over the bound")
+            if len(self.buffer) < HEAD.size + length:
+                break
+            body = bytes(self.buffer[HEAD.size:HEAD.size + length])
+            del self.buffer[:HEAD.size + length]
+            if not hmac.compare_digest(_mac(self.keys[name], self.nonce, number, body), mac):
+                raise Forged("a frame that its key has not signed")
+            self.number = number
+            found.append(unpack(body))
+        return found
--- /dev/null
+++ b/dunlinlug/succession/peers.py
@@ -0,0 +1,101 @@
+"""Moves members' frames over trio: one dialled connection to each other member, to send; one door, to hear."""
+
+import secrets
+from collections.abc import Callable
+
+import trio
+
+from dunlinlug.succession import codec, words
+
+AHEAD = 1024  # messages that may wait for a peer; beyond that the newest are lost, as on a network
+AGAIN, WITHIN = 0.1, 1.0  # seconds between dials, and for one: far below a lease of seconds
+SAID = 60.0  # seconds between two log lines on forged frames
+
+
+class Peers:
+    """`hear` gets what comes; send with `send`. `places` are the addresses of all members by id."""
+
+    def __init__(self, me: str, places: dict[str, tuple[str, int]], keys: list[bytes],
+                 hear: Callable[[words.Message], None], note: Callable[..., None]) -> None:
+        self.me, self.places, self.keys, self.hear, self.note = me, places, keys, hear, note
+        self.queues = {m: trio.open_memory_channel[words.Message](AHEAD) for m in places if m != me}
+        self.said_at, self.forged = -SAID, 0
+        self.sent_bytes = 0
+        self.cut: set[str] = set()  # members that nothing reaches and nothing is heard of: for tests and days
+
+    def send(self, to: str, message: words.Message) -> None:
+        if to in self.queues:
+            try:
+                self.queues[to][0].send_nowait(message)
+            except trio.WouldBlock:
+                return  # lost, as on a network; the next beat makes up for it
+
+    async def run(self, listeners: list[trio.SocketListener]) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, self._listen, listeners)
+            for member in self.queues:
+                nursery.start_soon(self._talk, member)
+
+    async def _talk(self, member: str) -> None:
+        """Dial, send what is queued, and dial again when it breaks."""
+        outlet = self.queues[member][1]
+        while True:
+            try:
+                with trio.fail_after(WITHIN):
+                    stream = await trio.open_tcp_stream(*self.places[member])
+                async with stream:
+                    with trio.fail_after(WITHIN):
+                        nonce = await self._exactly(stream, codec.NONCE)
+                    sealer = codec.Sealer(self.keys[0], nonce)
+                    while True:
+                        message = await outlet.receive()
+                        if member not in self.cut:
+                            frame = sealer.frame(message)
+                            self.sent_bytes += len(frame)
+                            with trio.fail_after(2 * WITHIN):
+                                await stream.send_all(frame)
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError, EOFError):
+                pass
+            self._drop(outlet)
+            await trio.sleep(AGAIN)
+
+    @staticmethod
+    def _drop(outlet: trio.MemoryReceiveChannel[words.Message]) -> None:
+        """What waited for a dead connection is old news."""
+        while True:
+            try:
+                outlet.receive_nowait()
+            except trio.WouldBlock:
+                return
+
+    async def _exactly(self, stream: trio.SocketStream, count: int) -> bytes:
+        data = b""
+        while len(data) < count:
+            got = await stream.receive_some(count - len(data))
+            if not got:
+                raise EOFError
+            data += got
+        return data
+
+    async def _listen(self, stream: trio.SocketStream) -> None:
+        nonce = secrets.token_bytes(codec.NONCE)
+        opener = codec.Opener(self.keys, nonce)
+        try:
+            await stream.send_all(nonce)
+            while data := await stream.receive_some(2**16):
+                for message in opener.feed(bytes(data)):
+                    if message.sender not in self.cut:
+                        self.hear(message)
+        except codec.Forged as fault:
+            self._forged(str(fault))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    def _forged(self, why: str) -> None:
+        """Harmless: the connection ends. Said once a minute at most, with how many there were."""
+        self.forged += 1
+        if trio.current_time() >= self.said_at + SAID:
+            self.said_at = trio.current_time()
+            self.note("peer.forged", why=why, count=self.forged)
--- a/dunlinlug/xds/render.py
+++ b/dunlinlug/xds/render.py
@@ -138,10 +138,10 @@
     return bytes(out)
 
 
-def response(type_url: str, resources: tuple[Resource, ...], removed: tuple[str, ...], nonce: str,
-             tag: str) -> bytes:
+def response(type_url: str, resources: tuple[Resource, ...], removed: tuple[str, ...], nonce: str, tag: str,
+             control: str = "dunlinlug") -> bytes:
     """A serialized DeltaDiscoveryResponse; all but nonce and tag is made once for all proxies."""
     own = discovery_pb2.DeltaDiscoveryResponse(nonce=nonce, system_version_info=tag)
-    own.control_plane.identifier = "dunlinlug"
+    own.control_plane.identifier = control
     tail: bytes = own.SerializeToString()
     return _shared(type_url, resources, removed) + tail
--- a/dunlinlug/xds/stream.py
+++ b/dunlinlug/xds/stream.py
@@ -47,6 +47,7 @@
         self.subscribed: dict[str, set[str]] = {}
         self.sent: dict[str, tuple[str, tuple[render.Resource, ...], tuple[str, ...]]] = {}  # by nonce
         self.last = 0
+        self.control = "dunlinlug"  # this manager, and its term if it takes part in succession
 
     def receive(self, data: bytes) -> list[Said]:
         """Raises StreamFault for what is not a request of this protocol."""
@@ -98,4 +99,4 @@
         self.last += 1
         nonce = str(self.last)
         self.sent[nonce] = (type_url, resources, removed)
-        return nonce, render.response(type_url, resources, removed, nonce, tag)
+        return nonce, render.response(type_url, resources, removed, nonce, tag, self.control)
--- a/dunlinlug/xds/subscriber.py
+++ b/dunlinlug/xds/subscriber.py
@@ -5,6 +5,8 @@
 from envoy.service.discovery.v3 import discovery_pb2
 from google.protobuf.message import DecodeError
 
+from dunlinlug.succession import fence
+from dunlinlug.succession.fence import Fence
 from dunlinlug.xds import names, read, render
 
 
@@ -16,6 +18,7 @@
     tag: str
     lines: int
     refused: str = ""
+    by: tuple[int, str] = (0, "")  # term and member of the manager
 
 
 @dataclass
@@ -27,6 +30,7 @@
     out: frozenset[str] = frozenset()
     versions: dict[str, dict[str, str]] = field(
         default_factory=lambda: {names.ENDPOINTS: {}, names.ROUTES: {}})
+    fence: Fence = field(default_factory=Fence)
 
     def lines(self, product: str) -> dict[str, float]:
         """The lines that may be picked for this product now, withdrawn ones left out."""
@@ -54,7 +58,7 @@
             request.node.id, request.node.locality.zone = self.node, self.zone
             request.node.user_agent_name = "dunlinlug"
             request.node.client_features.append(names.OVERLAY)
-            request.node.metadata.update(self.metadata)
+            request.node.metadata.update({**self.metadata, "term": self.holdings.fence.term})
             request.initial_resource_versions.update(self.holdings.versions[type_url])
             made.append(request.SerializeToString())
         return made
@@ -67,13 +71,16 @@
         except DecodeError as error:
             raise read.ReadFault(f"not a DeltaDiscoveryResponse: {error}") from None
         answer = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url, response_nonce=response.nonce)
-        refused, lines = "", 0
+        # Danger: an order of a former master, late or from one that was frozen, would undo its successor's.
+        by = fence.read(response.control_plane.identifier)
+        refused, lines = self.holdings.fence.admits(*by), 0
         try:
-            lines = self._apply(response)
+            lines = 0 if refused else self._apply(response)
         except read.ReadFault as fault:
             refused = str(fault)
+        if refused:
             answer.error_detail.code, answer.error_detail.message = 3, refused
-        return answer.SerializeToString(), Applied(response.type_url, response.system_version_info, lines, refused)
+        return answer.SerializeToString(), Applied(response.type_url, response.system_version_info, lines, refused, by)
 
     def _apply(self, response: discovery_pb2.DeltaDiscoveryResponse) -> int:
         holdings, lines = self.holdings, 0
