--- a/dunlinlug/audit/rules.py
+++ b/dunlinlug/audit/rules.py
@@ -29,7 +29,7 @@
     managed = Managed(records)
     told = Told(records, managed)
     found = [*bare(records, managed, told), *twice(records), *drains(records, managed, told),
-             *pushed(records, managed, told), *queue(records, managed)]
+             *pushed(records, managed, told), *queue(records, managed), *masters(records)]
     seen: Counter[tuple[str, str]] = Counter()
     kept = []
     for item in sorted(found, key=lambda item: item.at):
@@ -115,6 +115,21 @@
                     f"{lines[1]['worker']}", tuple(line["where"] for line in (*lines, *by)))
 
 
+def masters(records: Records) -> Iterator[Break]:
+    """A proxy obeyed a manager of a lower term than before, or two managers of one term: no rule of the five, but what
+    keeps them with several managers."""
+    last: dict[str, tuple[int, str]] = {}
+    for line in records.of("applied"):
+        term, member = line.get("by") or (0, "")
+        if line["refused"] or not term:
+            continue
+        before = last.setdefault(line["proxy"], (term, member))
+        if term < before[0] or term == before[0] and member != before[1]:
+            yield Break("master", line["at"], line["proxy"], "", f"obeyed {member} of term {term} after {before[1]} of "
+                        f"term {before[0]}", (line["where"],))
+        last[line["proxy"]] = max(before, (term, member))
+
+
 def drains(records: Records, managed: Managed, told: Told) -> Iterator[Break]:
     """A joined proxy sent to a worker past the grace after the manager was told that it drains or is gone."""
     duties, streams, shut = records.book.one(manager_terms.Obligations), joined(records), told.shut()
--- a/dunlinlug/day/play.py
+++ b/dunlinlug/day/play.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import secrets
 import signal
 import socket
 import sys
@@ -68,6 +69,13 @@
         extra[f"proxy p{n}"] = {
             "zone": fleet.zones[n % len(fleet.zones)], "address": places.take(),
             "group": str(n % proxies.processes), "rate": f"{rate / sum(rates) * load.txns_per_s:.3f}"}
+    for name in book.many(manager_terms.Member):
+        extra[f"member {name}"] = {"peers": places.take(), "serves": places.take()}
+    if book.many(manager_terms.Member):
+        key = folder / "key"
+        key.write_text(secrets.token_hex(32))
+        key.chmod(0o600)
+        extra["succession"] = {"key_file": str(key)}
     terms.copy_sections(day_file, extra, None, run_file)
     return terms.read(run_file)
 
@@ -111,17 +119,44 @@
     def __init__(self, day_file: Path, folder: Path, manager: Sequence[str] = MANAGER) -> None:
         self.folder, self.command = folder, manager
         folder.mkdir(parents=True, exist_ok=True)
-        self.run_file, self.manager_file = folder / "run.ini", folder / "manager.ini"
+        self.run_file = folder / "run.ini"
         self.book = lay_out(day_file, self.run_file, folder, Places())
         self.only = frozenset({*manager_terms.SINGLE, *manager_terms.NAMED})
+        self.members = list(self.book.many(manager_terms.Member)) or [""]
         self._write_manager({})
         self.record = Record(folder / "day.jsonl")
         self.zones = {name: place.zone for name, place in self.book.many(terms.WorkerPlace).items()}
         self.parts: dict[str, Part] = {}
-        self.manager: Part | None = None
+        self.managers: dict[str, Part] = {}  # by member; one without a name where it stands alone
+        self.struck = ""  # the member that was master when a trouble struck it
+
+    @property
+    def manager(self) -> Part | None:
+        return next(iter(self.managers.values()), None)
+
+    def file_of(self, member: str, ending: str) -> Path:
+        return self.folder / f"manager{'-' * bool(member)}{member}.{ending}"
 
     def _write_manager(self, extra: dict[str, dict[str, str]]) -> None:
-        terms.copy_sections(self.run_file, extra, self.only, self.manager_file)
+        for member in self.members:
+            own = dict(extra)
+            if member:
+                host, port = self.book.many(manager_terms.Member)[member].serves
+                own["manager"] = {"listen": f"{host}:{port}", "store": str(self.folder / f"store-{member}")}
+                own["succession"] = {"member": member}
+            terms.copy_sections(self.run_file, own, self.only, self.file_of(member, "ini"))
+
+    def master(self) -> str:
+        """The member whose log tells of the highest term; without members the one manager."""
+        terms_led = [(int(line["term"]), member) for member in self.members if member
+                     for line in self.said(member, "succession.leads")]
+        return max(terms_led, default=(0, self.members[0]))[1]
+
+    def said(self, member: str, event: str) -> list[dict[str, Any]]:
+        """Log lines of a manager about an event, so far."""
+        path = self.file_of(member, "log")
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines if f'"event": "{event}"' in line and line.endswith("}")]
 
     def steps(self) -> list[Step]:
         proxies = {name: place.zone for name, place in self.book.many(terms.ProxyPlace).items()}
@@ -163,7 +198,9 @@
                 self.parts[name] = await self._start(name, words)
             for part in self.parts.values():
                 await part.ready()
-            await self._start_manager()
+            for member in self.members:
+                await self._start_manager(member)
+            self.record.write("manager", do="start")
             self.parts["callers"] = await self._start("callers", ["callers", str(self.run_file)])
             await self.parts["callers"].ready()
             yield
@@ -171,8 +208,8 @@
             for name in ("callers", *[name for name in self.parts if name != "callers"]):
                 if name in self.parts:
                     await self.parts[name].end()
-            if self.manager is not None:
-                await self.manager.end()
+            for part in self.managers.values():
+                await part.end()
 
     async def _start(self, name: str, words: list[str]) -> Part:
         record = str(self.folder / f"{name}.jsonl")
@@ -181,15 +218,15 @@
             process = await trio.lowlevel.open_process(command, stdin=PIPE, stdout=PIPE, stderr=errors)
         return Part(name, process)
 
-    async def _start_manager(self) -> None:
-        command = [*self.command, str(self.manager_file), "--until-input-closes"]
-        with (self.folder / "manager.log").open("ab") as log:
-            self.manager = Part("manager", await trio.lowlevel.open_process(command, stdin=PIPE, stderr=log))
-        self.record.write("manager", do="start")
+    async def _start_manager(self, member: str) -> None:
+        command = [*self.command, str(self.file_of(member, "ini")), "--until-input-closes"]
+        with self.file_of(member, "log").open("ab") as log:
+            process = await trio.lowlevel.open_process(command, stdin=PIPE, stderr=log)
+        self.managers[member] = Part("manager", process)
 
     def _see_all(self) -> None:
         """Danger: a part that died unseen would leave records in which nothing is broken."""
-        dead = [part.name for part in [*self.parts.values(), *([self.manager] if self.manager else [])]
+        dead = [part.name for part in [*self.parts.values(), *self.managers.values()]
                 if part.process.poll() not in (None, -signal.SIGKILL)]
         if dead:
             raise DayFault(f"{', '.join(dead)} ended during the day")
@@ -209,16 +246,20 @@
             await self._to_manager(step.command)
 
     async def _to_manager(self, command: dict[str, Any]) -> None:
-        assert self.manager is not None
-        process = self.manager.process
-        self.record.write("manager", do=command["do"], size=command.get("size"))
+        if command["do"] in ("kill", "stall"):
+            self.struck = self.master()
+        process = self.managers[self.struck or self.members[0]].process
+        # With others to take over a manager's trouble excuses nothing: only one that stands alone is on record.
+        alone = len(self.members) == 1 or command["do"] in ("slow", "pace")
+        self.record.write("manager" if alone else "member", do=command["do"], size=command.get("size"),
+                          member=self.struck)
         match command["do"]:
             case "kill":
                 process.kill()
                 await process.wait()
             case "start":
-                await self.manager.end()
-                await self._start_manager()
+                await self.managers[self.struck].end()
+                await self._start_manager(self.struck)
             case "stall":
                 process.send_signal(signal.SIGSTOP)
             case "go on":
@@ -226,7 +267,11 @@
             case "slow":
                 pace = self.book.one(manager_terms.Outlet).lines_per_s / command["size"]
                 self._write_manager({"channel": {"pace": f"{pace:g}/s"}})
-                process.send_signal(signal.SIGHUP)
+                self._reload()
             case "pace":
                 self._write_manager({})
-                process.send_signal(signal.SIGHUP)
+                self._reload()
+
+    def _reload(self) -> None:
+        for part in self.managers.values():
+            part.process.send_signal(signal.SIGHUP)
--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -63,7 +63,8 @@
         self.prober = Prober(probing.path, probing.within, probing.at_once, self.loop.tell)
         self.operators = book.one(terms.Operators)
         self.office = self._office()
-        self.helm = self._helm(book.one(terms.Succession), Random(f"{own.seed} {book.one(terms.Succession).member}"))
+        self.succession, self.helm = book.one(terms.Succession), None  # type: terms.Succession, Helm | None
+        self.keys = read_keys(Path(self.succession.key_file)) if self.succession.member else []
         self.leading = set[trio.CancelScope]()  # of what only a master does
 
     def _deliver(self, proxy: int, parcel: Any) -> None:
@@ -80,14 +81,13 @@
         return Watch(Judge(self.trade, obeyed), obeyed, self.note,
                      lambda refusals: self.kept.put_refusals(refusals, guarding.remember))
 
-    def _helm(self, own: terms.Succession, chance: Random) -> Helm | None:
-        """Our part in a set of managers; none if we stand alone. Raises KeyFault."""
-        if not own.member:
-            return None
+    def _helm(self, own: terms.Succession) -> Helm:
+        """Our part in a set of managers; its clocks begin now."""
+        chance = Random(f"{self.book.one(terms.Desk).seed} {own.member}")
         members = self.book.many(terms.Member)
         places: dict[str, tuple[str, int]] = {name: member.peers for name, member in members.items()}
         timing = {"lease": own.lease, "beat": own.beat, "drift": own.drift, "forgets": own.forgets}
-        helm = Helm(own.member, places, read_keys(Path(own.key_file)), timing, own.first, self.kept, self.trade,
+        helm = Helm(own.member, places, self.keys, timing, own.first, self.kept, self.trade,
                     self.loop, self.desk, self.service, chance, lambda event, **said: self.note(event, **said))
         helm.begin, helm.end = self._begin, self._end
         if self.office is not None:
@@ -162,6 +162,8 @@
         listeners = await trio.open_tcp_listeners(own.listen[1], host=own.listen[0])
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            if self.succession.member:
+                self.helm = self._helm(self.succession)
             await self._open_office(nursery)
             if self.helm is None:
                 self._remember()
--- a/dunlinlug/standin/proxy.py
+++ b/dunlinlug/standin/proxy.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from dunlinlug.book import Book
+from dunlinlug.book import Address, Book
 from dunlinlug.day import terms
 from dunlinlug.manager import terms as manager_terms
 from dunlinlug.net import grpc, http
@@ -27,7 +27,9 @@
         self.wares, self.own = book.many(manager_terms.Ware), book.one(terms.Proxies)
         self.manager, self.roster = book.one(manager_terms.Desk), book.one(manager_terms.Source)
         self.zones = {worker: at.zone for worker, at in book.many(terms.WorkerPlace).items()}
-        self.holdings, self.link = Holdings(), None  # type: Holdings, grpc.Link | None
+        self.managers = [member.serves for member in book.many(manager_terms.Member).values()] or [self.manager.listen]
+        self.holdings, self.links = Holdings(), dict[Address, grpc.Link]()
+        self.current: Address | None = None  # the manager that answers us
         self.clients: dict[str, http.Client] = {}
         self.cut, self.bare = set[str](), dict[str, bool]()
         self.deaf: trio.Event | None = None
@@ -40,21 +42,46 @@
     # Tables.
 
     async def follow(self) -> None:
-        """Keep a stream to the manager; without one, go on with what is held."""
+        """Keep a call open at each manager, of which the master's is answered; without one, go on with what is held."""
         await self._stand()
+        async with trio.open_nursery() as nursery:
+            for place in self.managers:
+                nursery.start_soon(self._follow, place)
+
+    async def _follow(self, place: Address) -> None:
         while True:
             try:
                 if self._reaches(self.manager.zone):
-                    async with grpc.dial(*self.manager.listen, self.own.dial_within) as self.link:
-                        self.link.gate = self.deaf
-                        await self._stream(self.link)
+                    async with grpc.dial(*place, self.own.dial_within) as link:
+                        self.links[place] = link
+                        link.gate = self.deaf
+                        await self._calls(link, place)
             except* (OSError, grpc.CallEnded, trio.TooSlowError):
                 pass
-            if self.link is not None:
-                self.record.write("left", proxy=self.name)
-            self.link = None
+            self.links.pop(place, None)
             await trio.sleep(self.own.redial * self.chance.uniform(0.5, 1.5))
 
+    async def _calls(self, link: grpc.Link, place: Address) -> None:
+        """One call after another on a link that stands: a manager that leads no more ends the call, not the link."""
+        while not link.connection.closed:
+            try:
+                await self._stream(link, place)
+            except* grpc.CallEnded as ends:
+                if any(isinstance(end, grpc.CallEnded) and end.status is None for end in ends.exceptions):
+                    raise
+            finally:
+                if self.current == place:
+                    self.current = None
+                    self.record.write("left", proxy=self.name)
+
+    def _answered(self, place: Address) -> None:
+        """This manager leads now: what stood to another is over."""
+        if self.current is not None:
+            self.record.write("left", proxy=self.name)
+            self._break(self.current)
+        self.current = place
+        self.record.write("joined", proxy=self.name)
+
     async def _stand(self) -> None:
         """A small table drawn from the list, until the first stream brings one."""
         workers = list(self.zones)
@@ -71,13 +98,16 @@
         self.holdings.routes = dict.fromkeys(self.wares, (STANDING, render.Way(0)))
         self._see_bare()
 
-    async def _stream(self, link: grpc.Link) -> None:
+    async def _stream(self, link: grpc.Link, place: Address) -> None:
         call = link.call(names.ADS)
+        await call.opened.wait()
+        if call.ended is not None:
+            raise call.ended
         rate: dict[str, object] = {"txns_per_s": self.place.rate}
         subscriber = Subscriber(self.holdings, self.name, self.place.zone, rate)
         for request in subscriber.greet():
             call.send(request)
-        self.record.write("joined", proxy=self.name)
+        self._answered(place)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._report, link.call(names.LRS))
             while True:
@@ -85,7 +115,7 @@
                 answer, done = subscriber.receive(data)
                 call.send(answer)
                 self.record.write("applied", proxy=self.name, type=done.type_url.rpartition(".")[2], tag=done.tag,
-                                  lines=done.lines, refused=done.refused)
+                                  lines=done.lines, refused=done.refused, by=done.by)
                 self._see_bare()
 
     async def _report(self, call: grpc.Call) -> None:
@@ -175,15 +205,15 @@
     async def obey(self, command: Command) -> None:
         match command["do"]:
             case "break":
-                self._break()
+                self._break(self.current)
             case "restart":
                 self.holdings.versions = Holdings().versions
                 await self._stand()
-                self._break()
+                self._break(self.current)
             case "cut":
                 self.cut = {command["zone"]} if command["zone"] else set()
                 if not self._reaches(self.manager.zone):
-                    self._break()
+                    self._break(self.current)
             case "deaf":
                 self.deaf = trio.Event()
                 self._gate()
@@ -194,13 +224,13 @@
         self.record.write("obeyed", proxy=self.name, **{key: command[key] for key in ("do", "zone") if key in command})
 
     def _gate(self) -> None:
-        if self.link is not None:
-            self.link.gate = self.deaf
+        for link in self.links.values():
+            link.gate = self.deaf
 
-    def _break(self) -> None:
-        if self.link is not None:
-            for call in list(self.link.calls.values()):
-                call.end(None, "broken on command")
+    def _break(self, place: Address | None) -> None:
+        if place in self.links:
+            for call in list(self.links[place].calls.values()):
+                call.end(None, "broken")
 
 
 def main(run_file: Path, group: int, record_file: Path) -> None:
