dunlinlug fleet: show, hand over, enrol, dismiss; a joiner before the list is bound at once

The set's state and its planned changes over the operators' endpoint; a standby takes no pins and says who leads.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -309,7 +309,10 @@
                     if table.number == tbl:
                         table.shares.pop(i, None), table.parts.pop(i, None)
             case face.Bind(proxy, products, tbl) if proxy in self.proxies:
-                holds, self.proxies[proxy].wait = self.proxies[proxy].holds, now + self.RAISE
+                # Danger: a joiner left bare for a raise, having come before the list, at an empty table.
+                empty = any(table.number == tbl and not table.shares for table in tables)
+                self.proxies[proxy].wait = now + (self.BEAT if empty else self.RAISE)
+                holds = self.proxies[proxy].holds
                 for k in products:
                     holds[k] = [entry for entry in holds.get(k, []) if entry[0].number != tbl]
                     if not holds[k]:
--- a/dunlinlug/cli.py
+++ b/dunlinlug/cli.py
@@ -9,7 +9,7 @@
 import click
 
 from dunlinlug.commands import FILE, BadFile
-from dunlinlug.operators.commands import table
+from dunlinlug.operators.commands import fleet, table
 
 
 @click.group()
@@ -19,6 +19,7 @@
 
 
 main.add_command(table)
+main.add_command(fleet)
 
 
 def end_with_input() -> None:
--- a/dunlinlug/manager/helm.py
+++ b/dunlinlug/manager/helm.py
@@ -101,7 +101,21 @@
 
     def hand_over(self, to: str) -> None:
         """Raises ValueError if that member is not ready to take over."""
+        if to not in self.machine.roll.members or to == self.me:
+            raise ValueError(f"{to!r} is not another member; they are {', '.join(self.machine.roll.members)}")
         self._obey(self.machine.pass_on(trio.current_time(), to))
+        self.wake.set()
+
+    def enrol(self, member: str, on: bool) -> None:
+        """One more member, or one fewer. Raises ValueError if that can't be now, or we know no place for it."""
+        if member not in self.peers.places:
+            raise ValueError(f"no [member {member}] section says where it is")
+        members = set(self.machine.roll.members)
+        (members.add if on else members.discard)(member)
+        entry = facts.write_batch(facts.Batch(trio.current_time() + self.loop.shift, [], [], {}))
+        self._obey(self.machine.enrol(trio.current_time(), tuple(sorted(members)), entry))
+        self.note("succession.roll", members=sorted(members))
+        self.wake.set()
 
     def _obey(self, orders: list[words.Order]) -> None:
         for order in orders:
--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -164,6 +164,8 @@
             self.nursery = nursery
             if self.succession.member:
                 self.helm = self._helm(self.succession)
+                if self.office is not None:
+                    self.office.fleet = self.helm
             await self._open_office(nursery)
             if self.helm is None:
                 self._remember()
--- a/dunlinlug/operators/__init__.py
+++ b/dunlinlug/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' words: the local HTTP endpoint of a manager, the pins they set by it, and the commands' side of it."""
+"""Operators' words: a manager's local HTTP endpoint, the pins and fleet changes made by it, and the commands."""
--- a/dunlinlug/operators/commands.py
+++ b/dunlinlug/operators/commands.py
@@ -144,3 +144,54 @@
             for line in held["lines"]:
                 state = "withdrawn" if line["withdrawn"] else line["state"]
                 click.echo(f"    {line['worker']:<22} {line['weight']:<9g} {line['zone']:<10} {state}")
+
+
+@click.group()
+def fleet() -> None:
+    """Managers that take over from each other. FILE is the INI of a member; changes are the master's to make."""
+
+
+def _shown(state: dict[str, Any]) -> None:
+    click.echo(f"{state['member']}: term {state['term']}, master {state['master'] or 'none'} "
+               f"for {state['since']:.1f} s; last change {state['changed_ago']:.1f} s ago: {state['changed']}")
+    for member in state["members"]:
+        lag = "" if state["lags"] is None or member == state["member"] else (
+            ", lags by all" if state["lags"][member] is None else f", lags by {state['lags'][member]} batches")
+        click.echo(f"  {member}{lag}")
+
+
+@fleet.command("show")
+@click.argument("file", type=FILE)
+@click.option("--json", "as_json", is_flag=True, help="All of it, for programs.")
+def fleet_show(file: Path, as_json: bool) -> None:
+    """Who leads, since when, the term, who lags, and why the last change came."""
+    state = _asked(file, "GET", "/fleet")
+    if as_json:
+        click.echo(json.dumps(state, indent=2))
+    else:
+        _shown(state)
+
+
+@fleet.command("hand-over")
+@click.argument("file", type=FILE)
+@click.argument("to")
+def fleet_hand_over(file: Path, to: str) -> None:
+    """Let another member lead from now on, without a gap in orders."""
+    _asked(file, "POST", "/fleet/hand-over", {"to": to})
+    click.echo(f"handed over to {to}")
+
+
+@fleet.command("enrol")
+@click.argument("file", type=FILE)
+@click.argument("member")
+def fleet_enrol(file: Path, member: str) -> None:
+    """Make the set larger by one member, which has its section in every member's file."""
+    _shown(_asked(file, "PUT", f"/fleet/members/{quote(member, safe='')}"))
+
+
+@fleet.command("dismiss")
+@click.argument("file", type=FILE)
+@click.argument("member")
+def fleet_dismiss(file: Path, member: str) -> None:
+    """Make the set smaller by one member."""
+    _shown(_asked(file, "DELETE", f"/fleet/members/{quote(member, safe='')}"))
--- a/dunlinlug/operators/office.py
+++ b/dunlinlug/operators/office.py
@@ -4,6 +4,9 @@
     GET /tables[?product=NAME]      what stands, by product
     POST /pins/propose              what the guard would say of a pin; changes nothing
     PUT /pins, DELETE /pins/NAME    set a pin, end one
+    GET /fleet                      who leads, since when and why, terms, who lags
+    POST /fleet/hand-over           {"to": MEMBER}: another is to lead, without a gap in orders
+    PUT, DELETE /fleet/members/NAME one more member, one fewer
 """
 
 import hmac
@@ -11,7 +14,7 @@
 import stat
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import unquote
 
 import trio
@@ -47,8 +50,20 @@
     return Reply.json({"error": said, **more}, status)
 
 
+class Fleet(Protocol):
+    """What a member lets operators see and do; what can't be done raises ValueError, saying why."""
+
+    def state(self) -> dict[str, Any]: ...
+
+    def hand_over(self, to: str) -> None: ...
+
+    def enrol(self, member: str, on: bool) -> None: ...
+
+
 class Office:
-    """`show` gives the tables of a product (or of all) as plain values."""
+    """`show` gives the tables of a product (or of all) as plain values; `fleet` is None for a manager alone."""
+
+    fleet: "Fleet | None" = None
 
     def __init__(self, token: str, products: tuple[face.Product, ...], board: Board,
                  show: Callable[[], list[dict[str, Any]]], health: Callable[[], dict[str, Any]]) -> None:
@@ -74,6 +89,10 @@
 
     def _serve(self, request: Request, now: float) -> Reply:
         match request.method, request.path.strip("/").split("/"):
+            case method, ["fleet", *rest]:
+                return self._fleet(method, rest, request.body)
+            case method, _ if method != "GET" and self.fleet is not None and not self.fleet.state()["leads"]:
+                return _fault(503, f"another member leads: {self.fleet.state()['master'] or 'nobody at the moment'}")
             case "GET", ["tables"]:
                 return self._tables(unquote(request.query.get("product", "")))
             case "POST", ["pins", "propose"]:
@@ -90,6 +109,25 @@
                 return _fault(405, f"{request.method} is not served at {request.path}")
         return _fault(404, f"nothing at {request.path}")
 
+    def _fleet(self, method: str, rest: list[str], body: bytes) -> Reply:
+        if self.fleet is None:
+            return _fault(404, "this manager stands alone: its file has no [succession]")
+        try:
+            match method, rest:
+                case "GET", []:
+                    return Reply.json(self.fleet.state())
+                case "POST", ["hand-over"]:
+                    self.fleet.hand_over(words.read_member(body))
+                    return Reply.json(self.fleet.state())
+                case "PUT" | "DELETE", ["members", name]:
+                    self.fleet.enrol(unquote(name), method == "PUT")
+                    return Reply.json(self.fleet.state())
+        except words.WordFault:
+            raise
+        except ValueError as fault:
+            return _fault(409, str(fault), master=self.fleet.state()["master"])
+        return _fault(405, f"{method} is not served there")
+
     def _tables(self, product: str) -> Reply:
         if product and product not in self.names:
             return _fault(404, f"unknown product {product!r}; known are {', '.join(self.names)}")
--- a/dunlinlug/operators/words.py
+++ b/dunlinlug/operators/words.py
@@ -91,6 +91,19 @@
     return weights
 
 
+def read_member(body: bytes) -> str:
+    """Raises WordFault."""
+    try:
+        said = json.loads(body, object_pairs_hook=_once)
+    except WordFault:
+        raise
+    except ValueError as fault:
+        raise WordFault(f"not JSON: {fault}") from None
+    if not isinstance(said, dict) or set(said) != {"to"} or not isinstance(said["to"], str):
+        raise WordFault('it is {"to": MEMBER}')
+    return str(said["to"])
+
+
 def pin_said(pin: Pin, products: tuple[face.Product, ...], now: float) -> dict[str, Any]:
     return {"product": products[pin.product].name, "ends_in": round(pin.until - now, 3), "others": pin.others,
             "weights": dict(pin.weights)}
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -38,8 +38,9 @@
 
     def listed(self) -> list[face.Worker]:
         """The list as known."""
-        return [face.Worker(key, self.zones[i], "", 0, "ready" if self.ready[i] else "gone", self.weight[i],
-                            self.since[i]) for key, i in self.index.items()]
+        columns = zip(self.ids, self.zones, self.ready, self.weight, self.since, strict=True)
+        return [face.Worker(key, zone, "", 0, "ready" if ready else "gone", weight, since)
+                for key, zone, ready, weight, since in columns]
 
 
 @dataclass(eq=False)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -38,6 +38,7 @@
         self.serves = dict(zip(members, ports[len(members):], strict=True))
         self.managers: dict[str, Manager] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
+        self.ended: dict[str, trio.Event] = {}
         self.log: list[tuple[str, str, dict[str, Any]]] = []
         self.proxies: list[Proxy] = []
 
@@ -66,9 +67,16 @@
                     await manager.run(task_status=task_status)
                 finally:
                     manager.kept.close()
+                    self.ended[member].set()
 
+        self.ended[member] = trio.Event()
         await nursery.start(run)
 
+    async def stop(self, member: str) -> None:
+        self.scopes[member].cancel()
+        del self.managers[member]
+        await self.ended[member].wait()
+
     def leader(self) -> Manager | None:
         found = [m for m in self.managers.values() if m.helm and m.helm.leads(trio.current_time())]
         assert len(found) <= 1, "two lead at one time"
@@ -118,6 +126,8 @@
     async def _stream(self, link: grpc.Link, member: str) -> None:
         call = link.call(names.ADS)
         await call.opened.wait()
+        while member not in self.reaches:
+            await trio.sleep(0.02)
         subscriber = Subscriber(self.holdings, self.node, "north", {"txns_per_s": 5.0})
         for request in subscriber.greet():
             call.send(request)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -57,6 +57,16 @@
     assert set(it.module.proxies[3].holds) == {0, 1}
 
 
+def test_a_proxy_that_joined_before_the_list_is_bound_as_soon_as_that_comes() -> None:
+    it = Refusing(face.Bind)
+    it.step(face.Listed("kept", ()), face.Joined(3, "north", 10.0, True))
+    it.step()
+    it.on = False
+    it.step(face.Listed("whole", tuple(worker(n) for n in range(6))))
+    it.run(1.0)
+    assert len(it.seen) == 1 and set(it.module.proxies[3].holds) == {0, 1}
+
+
 def test_a_refused_line_is_left_out_and_tried_again_after_a_raise() -> None:
     bad = worker(5).id
     it = Refusing(face.Share, lambda order: order.worker == bad)
