--- a/bench/replicate.py
+++ b/bench/replicate.py
@@ -57,9 +57,10 @@
         wrote = time.process_time()
         facts.read_whole(whole, fleet.trade)
         print(f"{name:10s} loop {own:.1f} ms/s; master {ms['write']:.1f} ms/s for a standby, standby "
-              f"{ms['read']:.1f} + {ms['follow']:.1f} ms/s; {fleet.batches / seconds:.0f} batches and {fleet.sent / seconds / 1e3:.1f} kB "
-              f"a second; the whole {len(whole) / 1e3:.0f} kB, {(wrote - began) * 1e3:.0f} ms to write, "
-              f"{(time.process_time() - wrote) * 1e3:.0f} ms to read", flush=True)
+              f"{ms['read']:.1f} + {ms['follow']:.1f} ms/s; {fleet.batches / seconds:.0f} batches and "
+              f"{fleet.sent / seconds / 1e3:.1f} kB a second; the whole {len(whole) / 1e3:.0f} kB, "
+              f"{(wrote - began) * 1e3:.0f} ms to write, {(time.process_time() - wrote) * 1e3:.0f} ms to read",
+              flush=True)
 
 
 if __name__ == "__main__":
