The state-of-the-world form: an unmodified gRPC client is steered through xds:///

Beginning of xDS clients end to end. LDS, RDS, CDS and EDS over StreamAggregatedResources: a product's table is a cluster of its own name, each worker a locality with its weight, so that a plain client spreads by our tables and reports by worker. Its marks are answered once it holds all that was offered, to the endpoints of each product it asks for. Ways of trying again are left out, as such clients keep no mark.

--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -9,7 +9,7 @@
 
 from dunlinlug import interface as face
 from dunlinlug.manager.parcel import Parcel
-from dunlinlug.xds import names, render
+from dunlinlug.xds import full, names, render
 
 
 @dataclass(eq=False)
@@ -26,6 +26,7 @@
     """A joined proxy: its table by product, tables it was sent, and whether it lays OUT over its tables."""
 
     overlay: bool
+    full: bool = False  # takes all resources of a client of the state-of-the-world form
     bound: dict[int, int] = field(default_factory=dict)
     sent: set[str] = field(default_factory=set)
     stale: set[str] = field(default_factory=set)  # tables to be taken away with the next message
@@ -63,10 +64,10 @@
     def listed(self, workers: Iterable[face.Worker]) -> None:
         self.zones.update((worker.id, worker.zone) for worker in workers)
 
-    def join(self, proxy: int, overlay: bool, holds: Iterable[str]) -> None:
+    def join(self, proxy: int, overlay: bool, holds: Iterable[str], full: bool = False) -> None:
         """A proxy's stream stands; `holds` names the tables it still has from earlier streams."""
         self.leave(proxy)
-        self.seats[proxy] = Seat(overlay, stale={name for name in holds if name != names.OUT})
+        self.seats[proxy] = Seat(overlay, full, stale={name for name in holds if name != names.OUT})
 
     def leave(self, proxy: int) -> None:
         self.seats.pop(proxy, None)
@@ -148,6 +149,8 @@
         parcels = {}
         for proxy, lines in self.touched.items():
             seat, parcel = self.seats[proxy], Parcel(ordered=now)
+            if seat.full:
+                parcel.full = self.offer(seat)
             parcel.lines = lines + self.message_lines + (mark is not None)
             if shut is not None and proxy in self.reshut and seat.overlay and seat.out_version != shut.version:
                 seat.out_version, parcel.tables[names.OUT] = shut.version, shut
@@ -184,6 +187,18 @@
             (self.products[k].name, self.tables[tbl].name, self._way(k, tbl))
             for k, tbl in sorted(seat.bound.items())))
 
+    def offer(self, seat: Seat) -> full.Offer:
+        """All four types for a client of the full form: each product's table under a name of its own."""
+        made: full.Offer = {kind: {} for kind in full.ORDER}
+        for k, tbl in seat.bound.items():
+            product, laid = self.products[k].name, self.tables[tbl]
+            name, level = names.cluster_name(laid.name, product), laid.levels.get(k, (self.usual, 1.0))[1]
+            made[names.LISTENERS][product] = full.listener(product)
+            made[names.ROUTES][product] = full.routes(product, name)
+            made[names.CLUSTERS][name] = full.cluster(name)
+            made[names.ENDPOINTS][name] = full.endpoints(name, laid.lines, self.zones, level, self.out)
+        return made
+
     def _way(self, product: int, tbl: int) -> render.Way:
         retry = self.tables[tbl].levels.get(product, (self.usual, 1.0))[0]
         return render.Way(retry, self.products[product].sla * self.try_aims if retry > 1 else 0.0)
--- a/dunlinlug/manager/ledger.py
+++ b/dunlinlug/manager/ledger.py
@@ -12,6 +12,7 @@
     tries: int = 0
     voided: int = 0
     took: float = 0.0
+    untimed: int = 0
     load: dict[str, float] = field(default_factory=dict)
 
 
@@ -29,6 +30,7 @@
         self.lines_per_s, self.products = lines_per_s, products
         self.met: dict[tuple[str, str], _Met] = {}
         self.came: dict[tuple[int, str], _Came] = {}
+        self.pace: dict[str, float] = {}  # by worker, seconds that a settled try took, as told last
         self.allowed, self.last = 0.0, None  # type: float, float | None
 
     def add(self, now: float, proxy: int, zone: str, loads: Loads) -> None:
@@ -39,6 +41,7 @@
             met.tries += at.tries
             met.voided += at.voided
             met.took += at.took
+            met.untimed += at.untimed
             met.load.update(at.load)
         for product, (txns, voided) in loads.products.items():
             if product in self.products:
@@ -62,8 +65,11 @@
 
     def _met(self, now: float, zone: str, worker: str) -> face.Event:
         met = self.met.pop((zone, worker))
-        settled = met.tries - met.voided
-        took = met.took / settled if settled else 0.0
+        timed = met.tries - met.voided - met.untimed
+        if timed > 0:
+            self.pace[worker] = met.took / timed
+        # What was met without its time counts at the worker's pace as last told; not known at all, it is none.
+        took = self.pace.get(worker, 0.0) if met.tries > met.voided else 0.0
         return face.Met(zone, worker, met.tries, met.voided, took, now - met.since, met.load)
 
     def _came(self, now: float, proxy: int, product: str) -> face.Event:
--- a/dunlinlug/manager/parcel.py
+++ b/dunlinlug/manager/parcel.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from dunlinlug.xds.full import Offer
 from dunlinlug.xds.render import Resource
 
 
@@ -12,6 +13,7 @@
     tables: dict[str, Resource] = field(default_factory=dict)
     routes: Resource | None = None
     gone: set[str] = field(default_factory=set)
+    full: Offer | None = None  # for a client of the full form: all that it should hold
     marks: list[tuple[int, float]] = field(default_factory=list)  # number, and when it was ordered
     lines: float = 0.0
     ordered: float = 0.0  # when the first of it was ordered
@@ -26,6 +28,7 @@
         for name in later.gone:
             self.tables.pop(name, None)
         self.routes = later.routes or self.routes
+        self.full = later.full or self.full
         self.marks += later.marks
         self.lines += later.lines
         self.replies += later.replies
--- a/dunlinlug/manager/service.py
+++ b/dunlinlug/manager/service.py
@@ -10,9 +10,11 @@
 from dunlinlug.manager.loop import Loop
 from dunlinlug.manager.parcel import Parcel
 from dunlinlug.manager.session import Session
+from dunlinlug.manager.wide import WideSession
 from dunlinlug.net.grpc import Call, CallEnded
 from dunlinlug.rpc import Status
 from dunlinlug.xds import loads, names
+from dunlinlug.xds.full import FullStream
 from dunlinlug.xds.stream import DeltaStream, Greeted, StreamFault
 
 MOST = 65535  # proxies that this manager ever numbers: the module's ids are below it
@@ -25,7 +27,7 @@
         self.loop, self.desk, self.ledger, self.cycle, self.note = loop, desk, ledger, cycle, note
         self.numbers: dict[str, int] = {}
         self.fresh: dict[str, int] = {}  # numbers given since they were last taken
-        self.sessions: dict[int, Session] = {}
+        self.sessions: dict[int, Session | WideSession] = {}
         self.open = trio.Event()  # while not set, calls wait: another manager is master
         self.open.set()
         self.control, self.term = "dunlinlug", 0
@@ -41,12 +43,13 @@
 
     async def answer(self, call: Call) -> None:
         """One call, to its end."""
-        if call.path == names.ADS:
-            await self._ads(call)
+        if call.path in (names.ADS, names.FULL):
+            await self._ads(call, FullStream() if call.path == names.FULL else DeltaStream())
         elif call.path == names.LRS:
             await self._lrs(call)
         else:
-            call.finish(Status.UNIMPLEMENTED, f"{call.path} is not served; served are {names.ADS}, {names.LRS}")
+            call.finish(Status.UNIMPLEMENTED, f"{call.path} is not served; served are {names.ADS}, "
+                        f"{names.FULL}, {names.LRS}")
 
     def deliver(self, proxy: int, parcel: Parcel) -> None:
         """Hand a parcel that has left the channel to its stream; one for an earlier stream is lost."""
@@ -57,9 +60,9 @@
                 session.unused({names.table_name(self.desk.epoch, tbl) for tbl in seat.bound.values()})
             session.owe(parcel)
 
-    async def _ads(self, call: Call) -> None:
+    async def _ads(self, call: Call, stream: DeltaStream | FullStream) -> None:
         await self.open.wait()  # the first headers tell a proxy that this manager leads
-        stream, session = DeltaStream(), None
+        session = None
         stream.control = self.control
         call.accept()
         try:
@@ -71,9 +74,11 @@
                             self._greeted(word.node, stream)
                         elif session is not None:
                             session.said(word, trio.current_time())
-                    if session is None and set(stream.subscribed) == {names.ENDPOINTS, names.ROUTES}:
+                    if session is None and stream.ready():
                         session = self._join(call, stream)
                         nursery.start_soon(session.send)
+                    elif isinstance(session, WideSession):
+                        session.push()  # what it asks for may have changed
         except* StreamFault as faults:
             text = str(faults.exceptions[0])
             self.note("proxy.fault", proxy=stream.node, why=text)
@@ -85,7 +90,7 @@
             if session is not None:
                 self._leave(session)
 
-    def _greeted(self, node: str, stream: DeltaStream) -> None:
+    def _greeted(self, node: str, stream: DeltaStream | FullStream) -> None:
         seen = stream.metadata.get("term", 0)
         if isinstance(seen, int | float) and seen > self.term:
             self.fenced(int(seen))
@@ -97,7 +102,7 @@
                 raise StreamFault("no room for more proxies")
             self.numbers[node] = self.fresh[node] = len(self.numbers)
 
-    def _join(self, call: Call, stream: DeltaStream) -> Session:
+    def _join(self, call: Call, stream: DeltaStream | FullStream) -> Session | WideSession:
         proxy, now = self.numbers[stream.node], trio.current_time()
         former = self.sessions.get(proxy)
         if former is not None:  # a new stream of the same node: the old one is dead, or about to be
@@ -105,16 +110,20 @@
             former.call.finish(Status.CANCELLED, "another stream of this node has come")
             former.call.scope.cancel()
         held = stream.held[names.ENDPOINTS]
-        session = self.sessions[proxy] = Session(proxy, call, stream, now, self.loop.tell, self.note)
-        session.fenced = self.fenced
-        self.desk.join(proxy, names.OVERLAY in stream.features, held)
+        session: Session | WideSession
+        if isinstance(stream, FullStream):
+            session = WideSession(proxy, call, stream, now, self.loop.tell, self.note)
+        else:
+            session = Session(proxy, call, stream, now, self.loop.tell, self.note)
+        self.sessions[proxy], session.fenced = session, self.fenced
+        self.desk.join(proxy, names.OVERLAY in stream.features, held, stream.full)
         rate = stream.metadata.get("txns_per_s", 0.0)
         self.loop.tell(face.Joined(proxy, stream.zone, float(rate) if isinstance(rate, int | float) else 0.0,
                                    not held))
         self.note("proxy.joined", proxy=stream.node, number=proxy, zone=stream.zone, tables_held=len(held))
         return session
 
-    def _leave(self, session: Session) -> None:
+    def _leave(self, session: Session | WideSession) -> None:
         if self.sessions.get(session.proxy) is session:
             del self.sessions[session.proxy]
             self.desk.leave(session.proxy)
--- a/dunlinlug/xds/loads.py
+++ b/dunlinlug/xds/loads.py
@@ -15,12 +15,14 @@
 
 @dataclass
 class AtWorker:
-    """A proxy's tries at a worker over a span: `took` sums the seconds of the settled ones."""
+    """A proxy's tries at a worker over a span: `took` sums the seconds of the settled ones, less `untimed` ones whose
+    time is not told."""
 
     tries: int = 0
     voided: int = 0
     took: float = 0.0
     load: dict[str, float] = field(default_factory=dict)
+    untimed: int = 0
 
 
 @dataclass
@@ -75,6 +77,9 @@
     loads = Loads(made.node.id, made.node.locality.zone, 0.0)
     for stats in made.cluster_stats:
         loads.span = max(loads.span, stats.load_report_interval.ToNanoseconds() / 1e9)
+        if product := names.product_of(stats.cluster_name):
+            _read_plain(loads, product, stats)
+            continue
         for group in stats.upstream_locality_stats:
             for entry in group.upstream_endpoint_stats:
                 _read_worker(loads, entry)
@@ -84,6 +89,21 @@
     return loads
 
 
+def _read_plain(loads: Loads, product: str, stats: load_report_pb2.ClusterStats) -> None:
+    """A plain gRPC client's sums: a locality is a worker, and no time is told."""
+    came, failed = stats.total_dropped_requests, 0
+    for group in stats.upstream_locality_stats:
+        settled, voided = group.total_successful_requests, group.total_error_requests
+        if group.locality.sub_zone:
+            at = loads.workers.setdefault(group.locality.sub_zone, AtWorker())
+            at.tries += settled + voided
+            at.voided += voided
+            at.untimed += settled
+        came, failed = came + settled + voided, failed + voided
+    before = loads.products.get(product, (0, 0))
+    loads.products[product] = (before[0] + came, before[1] + failed + stats.total_dropped_requests)
+
+
 def _read_worker(loads: Loads, entry: load_report_pb2.UpstreamEndpointStats) -> None:
     address = entry.address.socket_address
     at = loads.workers.setdefault(f"{address.address}:{address.port_value}", AtWorker())
--- a/dunlinlug/xds/names.py
+++ b/dunlinlug/xds/names.py
@@ -2,8 +2,11 @@
 
 ENDPOINTS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 ROUTES = "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"
+LISTENERS = "type.googleapis.com/envoy.config.listener.v3.Listener"
+CLUSTERS = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
+FULL = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
 LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
 
 OUT = "out"  # the ClusterLoadAssignment whose endpoints are withdrawn from every table
@@ -17,6 +20,17 @@
 LOAD = "dunlinlug.load."  # prefix of a worker's own load report
 
 
+def cluster_name(table: str, product: str) -> str:
+    """What a client of the full form goes by: a table for one product alone, so that drops are that product's."""
+    return f"{table}/{product}"
+
+
+def product_of(cluster: str) -> str:
+    """The product of such a name; empty if it is none."""
+    parts = cluster.split("/", 2)
+    return parts[2] if len(parts) == 3 else ""
+
+
 def table_name(epoch: int, number: int) -> str:
     """A table's resource name; the epoch keeps a restarted manager's numbers apart from its former ones."""
     return f"{epoch}/{number}"
--- a/dunlinlug/xds/render.py
+++ b/dunlinlug/xds/render.py
@@ -60,6 +60,18 @@
     return made
 
 
+def endpoint(worker: str) -> endpoint_components_pb2.LbEndpoint:
+    """A worker that may be used."""
+    return _endpoint(worker, 0, False)
+
+
+def drop(made: endpoint_pb2.ClusterLoadAssignment, category: str, level: float) -> None:
+    """Let in no more than this share."""
+    overload = made.policy.drop_overloads.add(category=category)
+    overload.drop_percentage.numerator = round((1.0 - level) * MILLION)
+    overload.drop_percentage.denominator = percent_pb2.FractionalPercent.MILLION
+
+
 def table(name: str, lines: Mapping[str, float], zones: Mapping[str, str], levels: Mapping[str, float],
           out: Iterable[str] = ()) -> Resource:
     """A table: weights by worker, grouped by the workers' zones; `levels` has the share let in by product."""
@@ -76,9 +88,7 @@
             _endpoint(worker, weight, worker in shut) for worker, weight in zip(workers, weights, strict=True))
     for product, level in levels.items():
         if level < 1.0:
-            drop = made.policy.drop_overloads.add(category=product)
-            drop.drop_percentage.numerator = round((1.0 - level) * MILLION)
-            drop.drop_percentage.denominator = percent_pb2.FractionalPercent.MILLION
+            drop(made, product, level)
     return _wrap(name, names.ENDPOINTS, made)
 
 
--- a/dunlinlug/xds/stream.py
+++ b/dunlinlug/xds/stream.py
@@ -49,6 +49,12 @@
         self.last = 0
         self.control = "dunlinlug"  # this manager, and its term if it takes part in succession
 
+    full = False  # whether this stream speaks the state-of-the-world form
+
+    def ready(self) -> bool:
+        """Whether all has been asked for that a proxy needs."""
+        return set(self.subscribed) == {names.ENDPOINTS, names.ROUTES}
+
     def receive(self, data: bytes) -> list[Said]:
         """Raises StreamFault for what is not a request of this protocol."""
         request = discovery_pb2.DeltaDiscoveryRequest()
