The full form keeps a cluster until its client has gone over to the next

An unmodified gRPC client failed what it sent while a change was under way: the old cluster was taken away with the new route. Former clusters stay offered until their table is cleared. And a pace that nobody told is no sign of a jam: plain clients tell none, so every worker looked as slow as the others' nothing.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -129,11 +129,12 @@
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
             brisk = self.pace(i) <= self.PACE * self.calm
+            late = settled >= self.PLENTY and 0.0 < self.LATE * pace <= self.pace(i)
             if failing and (brisk or settled < 0.5):
                 cap = 0.0
             elif failing and not busy:
                 cap, self.full[i] = min(cap, self.JAMMED_SHARE), self.WEAK_SHARE
-            elif cap == 1.0 and not busy and settled >= self.PLENTY and self.pace(i) >= self.LATE * pace:
+            elif cap == 1.0 and not busy and late:
                 cap = self.full[i] = self.WEAK_SHARE
             elif now >= self.due[i] and part <= self.WELL and settled >= 1.0 and brisk:
                 cap = 1.0 if cap == self.full[i] else self.full[i]
--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -31,6 +31,7 @@
     sent: set[str] = field(default_factory=set)
     stale: set[str] = field(default_factory=set)  # tables to be taken away with the next message
     out_version: str = ""  # of OUT as last sent on this stream
+    former: set[tuple[int, int]] = field(default_factory=set)  # product and table, of the full form, as bound before
 
 
 class Desk:
@@ -122,6 +123,7 @@
         for used in seat.bound.values():
             self.users.get(used, {}).pop(proxy, None)
         seat.bound.update(dict.fromkeys(products, tbl))
+        seat.former.update((k, tbl) for k in products)
         for used in seat.bound.values():
             self.users.setdefault(used, {})[proxy] = None
         shut = sum(worker in laid.lines for worker in self.out)
@@ -190,11 +192,14 @@
     def offer(self, seat: Seat) -> full.Offer:
         """All four types for a client of the full form: each product's table under a name of its own."""
         made: full.Offer = {kind: {} for kind in full.ORDER}
-        for k, tbl in seat.bound.items():
+        # Danger: a cluster taken away before the client has gone over to the next fails all that it is sent meanwhile.
+        seat.former = {(k, tbl) for k, tbl in seat.former if tbl in self.tables}
+        for k, tbl in sorted(seat.former):
             product, laid = self.products[k].name, self.tables[tbl]
             name, level = names.cluster_name(laid.name, product), laid.levels.get(k, (self.usual, 1.0))[1]
-            made[names.LISTENERS][product] = full.listener(product)
-            made[names.ROUTES][product] = full.routes(product, name)
+            if seat.bound.get(k) == tbl:
+                made[names.LISTENERS][product] = full.listener(product)
+                made[names.ROUTES][product] = full.routes(product, name)
             made[names.CLUSTERS][name] = full.cluster(name)
             made[names.ENDPOINTS][name] = full.endpoints(name, laid.lines, self.zones, level, self.out)
         return made
--- a/dunlinlug/xds/full.py
+++ b/dunlinlug/xds/full.py
@@ -26,16 +26,17 @@
 
 ORDER = (names.CLUSTERS, names.ENDPOINTS, names.LISTENERS, names.ROUTES)  # make before break
 
-Offer = dict[str, dict[str, "tuple[str, bytes]"]]  # by type and name: version, and the serialized message
+Offered = tuple[str, bytes, str]  # version, the serialized message, and the cluster that a route leads to
+Offer = dict[str, dict[str, Offered]]  # by type and name
 
 
-def _versioned(message: Message) -> tuple[str, bytes]:
+def _versioned(message: Message, cluster: str = "") -> Offered:
     body: bytes = message.SerializeToString(deterministic=True)
-    return xxh3_64_hexdigest(body), body
+    return xxh3_64_hexdigest(body), body, cluster
 
 
 @lru_cache(maxsize=1024)
-def listener(product: str) -> tuple[str, bytes]:
+def listener(product: str) -> Offered:
     """Where a product's resolution begins."""
     manager = http_connection_manager_pb2.HttpConnectionManager()
     manager.rds.route_config_name = product
@@ -48,17 +49,17 @@
 
 
 @lru_cache(maxsize=4096)
-def routes(product: str, cluster: str) -> tuple[str, bytes]:
+def routes(product: str, cluster: str) -> Offered:
     made = route_pb2.RouteConfiguration(name=product)
     host = made.virtual_hosts.add(name=product, domains=[product])
     route = host.routes.add()
     route.match.prefix = ""
     route.route.cluster = cluster
-    return _versioned(made)
+    return _versioned(made, cluster)
 
 
 @lru_cache(maxsize=4096)
-def cluster(name: str) -> tuple[str, bytes]:
+def cluster(name: str) -> Offered:
     made = cluster_pb2.Cluster(name=name, type=cluster_pb2.Cluster.EDS, lb_policy=cluster_pb2.Cluster.ROUND_ROBIN)
     made.eds_cluster_config.eds_config.ads.SetInParent()
     made.eds_cluster_config.service_name = name
@@ -67,7 +68,7 @@
 
 
 def endpoints(name: str, lines: Mapping[str, float], zones: Mapping[str, str], level: float,
-              out: Iterable[str]) -> tuple[str, bytes]:
+              out: Iterable[str]) -> Offered:
     """A locality for each worker that may be used, with its weight."""
     made, shut = endpoint_pb2.ClusterLoadAssignment(cluster_name=name), set(out)
     for worker, weight in lines.items():
@@ -145,22 +146,25 @@
         for type_url in ORDER:
             offered = self.offered.get(type_url, {})
             wanted = {name: offered[name] for name in sorted(self.wanted.get(type_url, ())) if name in offered}
-            versions = {name: version for name, (version, _) in wanted.items()}
-            if versions == self.sent.get(type_url) or not versions and type_url not in self.sent:
+            versions = {name: version for name, (version, _, _) in wanted.items()}
+            before = self.sent.get(type_url, {})
+            kept = {name: version for name, version in before.items() if name in self.wanted.get(type_url, ())}
+            if versions == kept and (versions or not before):
+                self.sent[type_url] = versions  # what is only asked for no more needs no word
                 continue
             self.last += 1
             self.sent[type_url], self.nonces[type_url] = versions, str(self.last)
             response = discovery_pb2.DiscoveryResponse(type_url=type_url, nonce=str(self.last))
             response.version_info = xxh3_64_hexdigest(repr(sorted(versions.items())).encode())
             response.control_plane.identifier = self.control
-            response.resources.extend(any_pb2.Any(type_url=type_url, value=body) for _, body in wanted.values())
+            response.resources.extend(any_pb2.Any(type_url=type_url, value=body) for _, body, _ in wanted.values())
             made.append((str(self.last), tuple(versions), response.SerializeToString()))
         return made
 
     def settled(self) -> bool:
         """Whether the client has taken all that is offered of what it asks for, to the endpoints of each route."""
-        needed = set(self.offered.get(names.ENDPOINTS, {})) & self._routed()
-        return (not any(self.nonces.values()) and not self.refused
+        needed = self._routed()
+        return (bool(self.wanted.get(names.LISTENERS)) and not any(self.nonces.values()) and not self.refused
                 and needed <= self.wanted.get(names.ENDPOINTS, set()) and self.sent_all())
 
     def sent_all(self) -> bool:
@@ -169,6 +173,7 @@
                    if name in self.offered[type_url])
 
     def _routed(self) -> set[str]:
-        """The clusters of the products that it asks for."""
+        """The clusters that the products which it asks for are routed to."""
         products = self.wanted.get(names.LISTENERS, set())
-        return {name for name in self.offered.get(names.ENDPOINTS, {}) if names.product_of(name) in products}
+        return {cluster for product, (_, _, cluster) in self.offered.get(names.ROUTES, {}).items()
+                if product in products}
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -11,9 +11,13 @@
 from typing import Any
 
 import grpc as outside
+import pytest
 import trio
+from envoy.service.discovery.v3 import discovery_pb2
 
 from dunlinlug import interface as face
+from dunlinlug.xds import full, names
+from dunlinlug.xds.stream import Acked, Refused, StreamFault
 from tests.running import running, until
 
 CLIENT = '''
@@ -112,3 +116,97 @@
         if client is not None:
             client.end()
         workers.stop()
+
+
+# The stream by itself.
+
+
+def ask(type_url: str, names_: list[str], nonce: str = "", error: str = "") -> bytes:
+    request = discovery_pb2.DiscoveryRequest(type_url=type_url, resource_names=names_, response_nonce=nonce)
+    request.node.id = "n"
+    if error:
+        request.error_detail.message = error
+    return request.SerializeToString()
+
+
+def offer(table: str, *former: str, weight: float = 1.0) -> full.Offer:
+    made: full.Offer = {kind: {} for kind in full.ORDER}
+    name = names.cluster_name(table, "book")
+    made[names.LISTENERS]["book"] = full.listener("book")
+    made[names.ROUTES]["book"] = full.routes("book", name)
+    for held in [names.cluster_name(t, "book") for t in (*former, table)]:
+        made[names.CLUSTERS][held] = full.cluster(held)
+        made[names.ENDPOINTS][held] = full.endpoints(held, {"10.0.0.1:80": weight}, {}, 1.0, ())
+    return made
+
+
+def sent(stream: full.FullStream) -> dict[str, tuple[str, tuple[str, ...]]]:
+    """By type the nonce and names of what is due."""
+    found = {}
+    for nonce, named, data in stream.responses():
+        found[discovery_pb2.DiscoveryResponse.FromString(data).type_url] = (nonce, named)
+    return found
+
+
+def joined() -> full.FullStream:
+    """A stream whose client holds table 1/1 whole."""
+    stream = full.FullStream()
+    stream.offered = offer("1/1")
+    for kind, wanted in ((names.LISTENERS, ["book"]), (names.ROUTES, ["book"]), (names.CLUSTERS, ["1/1/book"]),
+                         (names.ENDPOINTS, ["1/1/book"])):
+        assert not stream.settled()
+        stream.receive(ask(kind, wanted))
+        nonce, named = sent(stream)[kind]
+        assert list(named) == wanted
+        stream.receive(ask(kind, wanted, nonce))
+    assert stream.settled() and not sent(stream)
+    return stream
+
+
+def test_a_change_settles_only_with_the_endpoints_of_its_new_cluster_and_the_old_one_stays_till_then() -> None:
+    stream = joined()
+    stream.offered = offer("1/2", "1/1")
+    due = sent(stream)
+    assert set(due) == {names.ROUTES} and not stream.settled(), "the client has yet to ask for the new cluster"
+    stream.receive(ask(names.ROUTES, ["book"], due[names.ROUTES][0]))
+    for kind in (names.CLUSTERS, names.ENDPOINTS):
+        stream.receive(ask(kind, ["1/1/book", "1/2/book"]))
+        nonce, named = sent(stream)[kind]
+        assert named == ("1/1/book", "1/2/book") and not stream.settled()
+        stream.receive(ask(kind, ["1/2/book"], nonce))
+    assert stream.settled()
+
+
+def test_a_refusal_followed_by_an_old_answer_is_still_a_refusal() -> None:
+    stream = joined()
+    stream.offered = offer("1/1", weight=2.0)
+    first = sent(stream)[names.ENDPOINTS][0]
+    stream.offered = offer("1/1", weight=3.0)
+    second = sent(stream)[names.ENDPOINTS][0]
+    assert stream.receive(ask(names.ENDPOINTS, ["1/1/book"], second, "no")) == [Refused(second, "no")]
+    assert stream.receive(ask(names.ENDPOINTS, ["1/1/book"], first)) == [] and not stream.settled()
+    assert not sent(stream), "what was refused is not sent again"
+    stream.offered = offer("1/1", weight=4.0)
+    third = sent(stream)[names.ENDPOINTS][0]
+    assert stream.receive(ask(names.ENDPOINTS, ["1/1/book"], third)) == [Acked(third)] and stream.settled()
+
+
+def test_an_answer_to_what_is_no_longer_the_newest_changes_nothing_it_asked_for_then() -> None:
+    stream = joined()
+    stream.offered = offer("1/1", weight=2.0)
+    old = sent(stream)[names.ENDPOINTS][0]
+    stream.offered = offer("1/1", weight=3.0)
+    new = sent(stream)[names.ENDPOINTS][0]
+    stream.receive(ask(names.ENDPOINTS, [], old))
+    assert stream.wanted[names.ENDPOINTS] == {"1/1/book"}, "crossed by a change: the newest answer counts"
+    stream.receive(ask(names.ENDPOINTS, ["1/1/book"], new))
+    assert stream.settled()
+
+
+@pytest.mark.parametrize(("data", "said"), [
+    (b"\xff\xff", "not a DiscoveryRequest"), (ask("type.googleapis.com/x", []), "is not served"),
+    (ask(names.CLUSTERS, ["x"] * 10_001), "more than"), (discovery_pb2.DiscoveryRequest(
+        type_url=names.CLUSTERS).SerializeToString(), "must name its node")])
+def test_what_is_no_request_ends_the_stream_with_a_word(data: bytes, said: str) -> None:
+    with pytest.raises(StreamFault, match=said):
+        full.FullStream().receive(data)
