Each safety line of the succession machine is taken out on purpose and caught

Twelve machines or hosts with one line missing: two votes a term, votes and promises forgotten by a restart, no promise, a late passing on, leases counted from answers or without drift, votes for who knows less, blank votes counted, no fence, no waiting for commits.

--- a/dunlinlug/succession/search.py
+++ b/dunlinlug/succession/search.py
@@ -1,6 +1,6 @@
 """An explicit-state search over the very machine: three managers, two proxies, messages late, doubled, lost, any order.
 
-    python -m dunlinlug.succession.search [--states 1000000] [--seconds 600]
+    python -m dunlinlug.succession.search [--states 1000000] [--seconds 600] [--walkers 4]
 
 A state is all machines, what is on its way, clocks and proxies; it is known by a 128-bit xxhash of its canonical form,
 in which times count from the present. It begins with a master that both others follow. Steps: time passes; a clock
@@ -18,7 +18,8 @@
 import re
 import time
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
@@ -360,10 +361,21 @@
     revived: tuple[int, int]
 
 
+def led(world: World, patterns: Iterable[str], commits: bool = True, fenced: bool = True) -> World:
+    """Take, for each pattern, the first step whose name it matches; raises LookupError if there is none."""
+    for pattern in patterns:
+        names = list(steps(world, commits, fenced))
+        step = next((step for name, step in names if re.match(pattern, name)), None)
+        if step is None:
+            raise LookupError(f"no step {pattern!r}; there are {[name for name, _ in names]}")
+        world = step()
+    return world
+
+
 def search(states: int, seconds: float = 1e9, make: Callable[..., Machine] = Machine, bounds: Bounds | None = None,
-           commits: bool = True, fenced: bool = True, revive_each: int = 0) -> Found:
-    """Breadth first, so that the trace is a shortest one."""
-    first = start(make, bounds or Bounds())
+           commits: bool = True, fenced: bool = True, revive_each: int = 0, prefix: Iterable[str] = ()) -> Found:
+    """Breadth first, so that the trace is a shortest one (from where `prefix` leads, if it does)."""
+    first = led(start(make, bounds or Bounds()), prefix, commits, fenced)
     queue, seen = deque([(first, form(first))]), {form(first): (0, "")}
     ends, tried, revived = time.monotonic() + seconds, 0, 0
     while queue:
@@ -463,20 +475,27 @@
     return Found(len(seen), [], "", False, (0, 0))
 
 
+def _say(how: str, found: Found) -> None:
+    print(f"{how}: {found.states} states{' (all within the bounds)' if found.whole else ''}; "
+          f"broken: {found.broken or 'nothing'}"
+          + (f"; a master again in {found.revived[0]} of {found.revived[1]} tried" if found.revived[1] else ""), flush=True)
+    for n, step in enumerate(found.trace, 1):
+        print(f"{n:3d}  {step}")
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--states", type=int, default=1_000_000)
-    parser.add_argument("--seconds", type=float, default=600)
-    parser.add_argument("--flying", type=int, default=3)
-    parser.add_argument("--terms", type=int, default=3)
-    parser.add_argument("--restarts", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=600, help="for the breadth, and for each of the walks")
+    parser.add_argument("--walkers", type=int, default=4, help="processes that walk, with seeds of their own")
     given = parser.parse_args()
-    found = search(given.states, given.seconds, bounds=Bounds(
-        terms=given.terms, flying=given.flying, restarts=given.restarts), revive_each=997)
-    print(f"{found.states} states{' (all within the bounds)' if found.whole else ''}; "
-          f"broken: {found.broken or 'nothing'}; a master again in {found.revived[0]} of {found.revived[1]} tried")
-    for n, step in enumerate(found.trace, 1):
-        print(f"{n:3d}  {step}")
+    with ProcessPoolExecutor(given.walkers + 1) as pool:
+        breadth = pool.submit(search, given.states, given.seconds, revive_each=997)
+        walks = {seed: pool.submit(swarm, given.seconds, seed, bounds=Bounds(flying=8, lost=3, terms=4, restarts=2))
+                 for seed in range(given.walkers)}
+        for seed, walk_found in walks.items():
+            _say(f"walks of seed {seed}", walk_found.result())
+        _say("breadth first", breadth.result())
 
 
 if __name__ == "__main__":
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -16,6 +16,7 @@
 from dunlinlug.xds.stream import DeltaStream
 from dunlinlug.xds.subscriber import Holdings, Subscriber
 from tests.fleet import KEYS, fleet
+from tests.mutants import MUTANTS
 from tests.running import WORKERS, bound, until
 
 
@@ -279,6 +280,18 @@
         assert all(len(voted) == 1 for voted in votes.values()), (seed, votes)
 
 
+@pytest.mark.parametrize("name", MUTANTS)
+def test_each_safety_line_taken_out_is_caught_with_a_shortest_trace(name: str) -> None:
+    mutant = MUTANTS[name]
+    found = search(20_000, 30.0, mutant.make, mutant.bounds, prefix=mutant.prefix, **mutant.host)
+    assert mutant.says in found.broken and found.trace, found
+    try:
+        whole = search(300, 30.0, bounds=mutant.bounds, prefix=mutant.prefix)
+    except LookupError:
+        return  # the whole machine does not even go where the mutant was led
+    assert whole.broken == ""
+
+
 def test_a_short_search_finds_nothing_broken() -> None:
     found = search(12_000, revive_each=499)
     assert (found.broken, found.trace) == ("", [])
