TLS on ADS and LRS: a proxy is who its certificate names

Certificates of both sides by the standard library's ssl over trio; keys are read anew on reload while streams go on; a claim of another's identity ends with PERMISSION_DENIED, on reports too; a certificate that runs out ends its streams.

--- a/dunlinlug/manager/main.py
+++ b/dunlinlug/manager/main.py
@@ -1,6 +1,7 @@
 """The manager as a process: puts the parts together, starts and stops them, reloads what may change."""
 
 import signal
+import ssl
 import sys
 import time
 import traceback
@@ -27,7 +28,8 @@
 from dunlinlug.manager.roster import Follower
 from dunlinlug.manager.service import Service
 from dunlinlug.manager.watch import Watch
-from dunlinlug.net import grpc, http
+from dunlinlug.net import grpc, http, tls
+from dunlinlug.net.tls import TlsFault
 from dunlinlug.operators import view
 from dunlinlug.operators.board import Board
 from dunlinlug.operators.office import Office, TokenFault, read_token
@@ -63,6 +65,7 @@
         self.prober = Prober(probing.path, probing.within, probing.at_once, self.loop.tell)
         self.operators = book.one(terms.Operators)
         self.office = self._office()
+        self.context = self._secure()
         self.succession, self.helm = book.one(terms.Succession), None  # type: terms.Succession, Helm | None
         self.keys = read_keys(Path(self.succession.key_file)) if self.succession.member else []
         self.leading = set[trio.CancelScope]()  # of what only a master does
@@ -125,6 +128,11 @@
             await task(*words)
         self.leading.discard(scope)
 
+    def _secure(self) -> ssl.SSLContext | None:
+        """For new connections; None where ADS and LRS are plain text. Raises TlsFault."""
+        own = self.book.one(terms.Tls)
+        return tls.serving(Path(own.cert), Path(own.key), Path(own.clients)) if own.cert else None
+
     def _office(self) -> Office | None:
         """The operators' endpoint; none without a token, nor without a judge. Raises TokenFault."""
         if not self.operators.token_file or self.watch is None:
@@ -182,7 +190,8 @@
             if source.mode == "pushed" and self.helm is None:
                 nursery.start_soon(self.follower.follow, True)
             nursery.start_soon(grpc.serve, listeners, self.service.answer, own.hello_within, own.quiet_most,
-                               self._link_fault)
+                               self._link_fault, lambda: self.context,
+                               lambda why: self.note("proxy.unproven", why=why))
             self.note("manager.ready", epoch=self.epoch, listen=f"{own.listen[0]}:{own.listen[1]}")
             task_status.started(listeners[0].socket.getsockname()[:2])
             await self._signals()
@@ -235,12 +244,14 @@
         if fixed:
             self.note("reload.refused", why=f"a restart is needed for what changed in {', '.join(fixed)}")
             return
-        if self.office is not None:
-            try:
+        try:
+            context = self._secure()  # streams that stand go on under the keys that they began with
+            if self.office is not None:
                 self.office.token = read_token(Path(self.operators.token_file))
-            except TokenFault as fault:
-                self.note("reload.refused", why=str(fault))
-                return
+        except (TokenFault, TlsFault) as fault:
+            self.note("reload.refused", why=str(fault))
+            return
+        self.context = context
         outlet = fresh.one(terms.Outlet)
         self.channel.set_pace(trio.current_time(), outlet.pace or outlet.lines_per_s)
         self.loop.put.set()
@@ -255,7 +266,7 @@
         book = terms.read(path)
         log.set_up(book.one(terms.Desk).log)
         manager = Manager(path, book, make)
-    except (BookFault, KeptFault, TokenFault, KeyFault) as fault:
+    except (BookFault, KeptFault, TokenFault, KeyFault, TlsFault) as fault:
         print(f"dunlinlug: {fault}", file=sys.stderr)
         return 2
     try:
--- a/dunlinlug/manager/service.py
+++ b/dunlinlug/manager/service.py
@@ -20,6 +20,10 @@
 MOST = 65535  # proxies that this manager ever numbers: the module's ids are below it
 
 
+class Impostor(Exception):
+    """A peer that claims another's identity."""
+
+
 class Service:
     """Numbers proxies by their node's name, for as long as the process lives."""
 
@@ -71,7 +75,7 @@
                     data = await call.receive()
                     for word in stream.receive(data):
                         if isinstance(word, Greeted):
-                            self._greeted(word.node, stream)
+                            self._greeted(word.node, stream, call.link.identity)
                         elif session is not None:
                             session.said(word, trio.current_time())
                     if session is None and stream.ready():
@@ -79,6 +83,9 @@
                         nursery.start_soon(session.send)
                     elif isinstance(session, WideSession):
                         session.push()  # what it asks for may have changed
+        except* Impostor as faults:
+            self.note("proxy.fault", proxy=stream.node, why=str(faults.exceptions[0]))
+            call.finish(Status.PERMISSION_DENIED, str(faults.exceptions[0]))
         except* StreamFault as faults:
             text = str(faults.exceptions[0])
             self.note("proxy.fault", proxy=stream.node, why=text)
@@ -90,7 +97,9 @@
             if session is not None:
                 self._leave(session)
 
-    def _greeted(self, node: str, stream: DeltaStream | FullStream) -> None:
+    def _greeted(self, node: str, stream: DeltaStream | FullStream, identity: str) -> None:
+        if identity and identity != node:
+            raise Impostor(f"{node} is not who its certificate names: {identity}")
         seen = stream.metadata.get("term", 0)
         if isinstance(seen, int | float) and seen > self.term:
             self.fenced(int(seen))
@@ -145,6 +154,9 @@
                 return
             if not node:
                 node = report.node
+                if call.link.identity not in ("", node):
+                    call.finish(Status.PERMISSION_DENIED, f"{node} is not {call.link.identity}")
+                    return
                 call.send(loads.answer(self.cycle))
             proxy = self.numbers.get(node)
             # Danger: a peer could make up workers and fill the ledger, and the module's share of reports, with them.
--- a/dunlinlug/manager/terms.py
+++ b/dunlinlug/manager/terms.py
@@ -122,6 +122,20 @@
             raise ValueError("beat is to be at most a third of lease, so that one may be lost; drift at most 20%")
 
 
+@attrs.frozen
+class Tls:
+    """[tls]: certificates for ADS and LRS; without it they are plain text, on loopback alone. Clients need one of the
+    authority in `clients`, and its name is who they are."""
+
+    cert: str = ""
+    key: str = ""
+    clients: str = ""
+
+    def __attrs_post_init__(self) -> None:
+        if len({bool(self.cert), bool(self.key), bool(self.clients)}) > 1:
+            raise ValueError("cert, key and clients go together")
+
+
 @attrs.frozen
 class Member:
     """[member NAME]: where the set's members hear each other, and where they serve proxies."""
@@ -149,9 +163,9 @@
 
 SINGLE = {"manager": Desk, "channel": Outlet, "duties": Obligations, "roster": Source, "probes": Probing,
           "reports": Hearing, "guard": Guarding, "operators": Operators,
-          "succession": Succession}
+          "succession": Succession, "tls": Tls}
 NAMED = {"product": Ware, "member": Member}
-OPTIONAL = frozenset({"probes", "reports", "guard", "operators", "succession"})
+OPTIONAL = frozenset({"probes", "reports", "guard", "operators", "succession", "tls"})
 
 
 def read(path: Path) -> Book:
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -1,12 +1,14 @@
 """Moves the bytes of `dunlinlug.rpc` over trio streams; each link's tasks live in the nursery of `run`."""
 
 import os
+import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 
 import trio
 
 from dunlinlug import rpc
+from dunlinlug.net import tls
 
 READ = 2**16  # bytes asked of a socket at a time
 AHEAD = 256  # messages a peer may send ahead of their handling before its call is ended
@@ -75,8 +77,9 @@
 class Link:
     """A socket with its connection and calls."""
 
-    def __init__(self, socket: trio.abc.Stream, connection: rpc.Connection) -> None:
-        self.socket, self.connection = socket, connection
+    def __init__(self, socket: trio.abc.Stream, connection: rpc.Connection, identity: str = "") -> None:
+        """`identity` is the peer's name by its certificate, if it showed one."""
+        self.socket, self.connection, self.identity = socket, connection, identity
         self.calls: dict[int, Call] = {}
         self.wanted, self.moved = trio.Event(), trio.Event()  # something to write; something was written
         self.outgoing, self.unwritten = list[bytes](), 0  # bytes taken from the connection and not yet written
@@ -215,25 +218,56 @@
 
 async def serve(listeners: list[trio.SocketListener], answer: Callable[[Call], Awaitable[None]],
                 hello: float = 10.0, quiet_most: float = 60.0,
-                fault: Callable[[Exception], None] | None = None) -> None:
+                fault: Callable[[Exception], None] | None = None,
+                secure: Callable[[], ssl.SSLContext | None] = lambda: None,
+                unproven: Callable[[str], None] = lambda why: None) -> None:
     """Serve calls on these listeners until cancelled. What goes wrong in a link ends that link and is told to
-    `fault`; without it, it ends the serving."""
+    `fault`; without it, it ends the serving. `secure` gives the TLS context for each new connection, so that keys may
+    change while streams stand; who shows no good certificate is told to `unproven`."""
     async def one(socket: trio.SocketStream) -> None:
         try:
-            await Link(socket, rpc.Connection(client=False)).run(answer, hello, quiet_most)
+            context = secure()
+            if context is None:
+                await Link(socket, rpc.Connection(client=False)).run(answer, hello, quiet_most)
+            else:
+                await proven(socket, context)
         except Exception as error:
             if fault is None:
                 raise
             fault(error)
 
+    async def proven(socket: trio.SocketStream, context: ssl.SSLContext) -> None:
+        stream = trio.SSLStream(socket, context, server_side=True, https_compatible=True)
+        try:
+            with trio.fail_after(hello):
+                await stream.do_handshake()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
+            unproven(str(error.__cause__ or "no handshake in time"))
+            await trio.aclose_forcefully(stream)
+            return
+        # Danger: a certificate that has run out meanwhile would go on being believed for as long as its stream stands.
+        with trio.move_on_after(max(tls.lasts(stream), 0.0)) as scope:
+            await Link(stream, rpc.Connection(client=False), tls.identity(stream)).run(answer, hello, quiet_most)
+        if scope.cancelled_caught:
+            unproven(f"the certificate of {tls.identity(stream)} has run out")
+
     await trio.serve_listeners(one, listeners)
 
 
 @asynccontextmanager
-async def dial(host: str, port: int, within: float = 2.0, quiet_most: float = 60.0) -> AsyncIterator[Link]:
-    """A client's link, for the time of the block; raises OSError if nobody answers within that many seconds."""
+async def dial(host: str, port: int, within: float = 2.0, quiet_most: float = 60.0,
+               context: ssl.SSLContext | None = None, name: str = "") -> AsyncIterator[Link]:
+    """A client's link, for the time of the block; raises OSError if nobody answers within that many seconds. With a
+    `context` it is TLS, and the server's certificate must be for `name` (or the host)."""
+    socket: trio.abc.Stream
     with trio.move_on_after(within) as scope:
         socket = await trio.open_tcp_stream(host, port)
+        if context is not None:
+            socket = trio.SSLStream(socket, context, server_hostname=name or host, https_compatible=True)
+            try:
+                await socket.do_handshake()
+            except trio.BrokenResourceError as error:
+                raise OSError(f"no TLS with {host}:{port}: {error.__cause__}") from None
     if scope.cancelled_caught:
         raise TimeoutError(f"no connection to {host}:{port} within {within} s")
     link = Link(socket, rpc.Connection(client=True))
