A client with a stream for each xDS type is one proxy

LDS, RDS, CDS and EDS on streams of their own, grouped by node: what one asks for and has taken counts with the others', marks are answered once all have, and the proxy leaves with its listeners' stream.

--- a/dunlinlug/manager/service.py
+++ b/dunlinlug/manager/service.py
@@ -1,6 +1,7 @@
 """The manager's gRPC port: ADS streams to sessions, LRS streams to the ledger."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import trio
 
@@ -15,7 +16,7 @@
 from dunlinlug.rpc import Status
 from dunlinlug.xds import loads, names
 from dunlinlug.xds.full import FullStream
-from dunlinlug.xds.stream import DeltaStream, Greeted, StreamFault
+from dunlinlug.xds.stream import Acked, DeltaStream, Greeted, Refused, StreamFault
 
 MOST = 65535  # proxies that this manager ever numbers: the module's ids are below it
 
@@ -24,6 +25,15 @@
     """A peer that claims another's identity."""
 
 
+@dataclass
+class Group:
+    """A client with a stream for each type."""
+
+    stream: FullStream
+    session: WideSession | None = None
+    calls: dict[str, Call] = field(default_factory=dict)
+
+
 class Service:
     """Numbers proxies by their node's name, for as long as the process lives."""
 
@@ -32,6 +42,7 @@
         self.numbers: dict[str, int] = {}
         self.fresh: dict[str, int] = {}  # numbers given since they were last taken
         self.sessions: dict[int, Session | WideSession] = {}
+        self.groups: dict[str, Group] = {}  # by node, of clients with a stream for each type
         self.open = trio.Event()  # while not set, calls wait: another manager is master
         self.open.set()
         self.control, self.term = "dunlinlug", 0
@@ -42,18 +53,19 @@
         self.open = trio.Event()
         for session in list(self.sessions.values()):
             self._leave(session)
-            session.call.finish(Status.UNAVAILABLE, why)
-            session.call.scope.cancel()
+            session.end(Status.UNAVAILABLE, why)
 
     async def answer(self, call: Call) -> None:
         """One call, to its end."""
         if call.path in (names.ADS, names.FULL):
             await self._ads(call, FullStream() if call.path == names.FULL else DeltaStream())
+        elif call.path in names.APART:
+            await self._apart(call, names.APART[call.path])
         elif call.path == names.LRS:
             await self._lrs(call)
         else:
             call.finish(Status.UNIMPLEMENTED, f"{call.path} is not served; served are {names.ADS}, "
-                        f"{names.FULL}, {names.LRS}")
+                        f"{names.FULL}, {', '.join(names.APART)}, {names.LRS}")
 
     def deliver(self, proxy: int, parcel: Parcel) -> None:
         """Hand a parcel that has left the channel to its stream; one for an earlier stream is lost."""
@@ -97,6 +109,64 @@
             if session is not None:
                 self._leave(session)
 
+    async def _apart(self, call: Call, type_url: str) -> None:
+        """One type's stream of a client that has one for each: together they are one proxy."""
+        await self.open.wait()
+        call.accept()
+        group: Group | None = None
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    data = await call.receive()
+                    if group is None:
+                        group = self._group(data, call, type_url)
+                    for word in group.stream.receive(data, type_url):
+                        if group.session is not None and isinstance(word, Acked | Refused):
+                            group.session.said(word, trio.current_time())
+                    if group.session is None and group.stream.ready():
+                        session = self._join(call, group.stream)
+                        assert isinstance(session, WideSession)
+                        group.session, session.calls = session, group.calls
+                        nursery.start_soon(session.send)
+                    elif group.session is not None:
+                        group.session.push()
+        except* (StreamFault, Impostor) as faults:
+            text = str(faults.exceptions[0])
+            self.note("proxy.fault", proxy=group.stream.node if group else "", why=text)
+            call.finish(Status.INVALID_ARGUMENT, text)
+        except* CallEnded:
+            pass
+        finally:
+            if group is not None and group.calls.get(type_url) is call:
+                self._part(group, type_url)
+
+    def _group(self, data: bytes, call: Call, type_url: str) -> "Group":
+        """The group of the node that this first request names."""
+        first = FullStream()
+        first.receive(data, type_url)
+        first.control = self.control
+        group = self.groups.get(first.node)
+        if group is None:
+            self._greeted(first.node, first, call.link.identity)
+            fresh = FullStream()
+            fresh.node, fresh.zone, fresh.metadata, fresh.control = first.node, first.zone, first.metadata, self.control
+            group = self.groups[first.node] = Group(fresh)
+        elif call.link.identity not in ("", first.node):
+            raise Impostor(f"{first.node} is not who its certificate names: {call.link.identity}")
+        group.stream.forget(type_url)
+        group.calls[type_url] = call
+        return group
+
+    def _part(self, group: "Group", type_url: str) -> None:
+        """A stream of the group has ended; without the listeners' it is no proxy any more."""
+        del group.calls[type_url]
+        group.stream.forget(type_url)
+        if group.session is not None and type_url == names.LISTENERS:
+            self._leave(group.session)
+            group.session = None
+        if not group.calls and self.groups.get(group.stream.node) is group:
+            del self.groups[group.stream.node]
+
     def _greeted(self, node: str, stream: DeltaStream | FullStream, identity: str) -> None:
         if identity and identity != node:
             raise Impostor(f"{node} is not who its certificate names: {identity}")
@@ -116,8 +186,7 @@
         former = self.sessions.get(proxy)
         if former is not None:  # a new stream of the same node: the old one is dead, or about to be
             self._leave(former)
-            former.call.finish(Status.CANCELLED, "another stream of this node has come")
-            former.call.scope.cancel()
+            former.end(Status.CANCELLED, "another stream of this node has come")
         held = stream.held[names.ENDPOINTS]
         session: Session | WideSession
         if isinstance(stream, FullStream):
--- a/dunlinlug/manager/session.py
+++ b/dunlinlug/manager/session.py
@@ -9,6 +9,7 @@
 from dunlinlug import interface as face
 from dunlinlug.manager.parcel import Parcel
 from dunlinlug.net.grpc import Call
+from dunlinlug.rpc import Status
 from dunlinlug.succession import fence
 from dunlinlug.xds import names
 from dunlinlug.xds.render import Resource
@@ -111,6 +112,10 @@
                     self.tell(face.Answered(self.proxy, number, now - ordered))
         self._push()
 
+    def end(self, status: Status, why: str) -> None:
+        self.call.finish(status, why)
+        self.call.scope.cancel()
+
     def unused(self, used: set[str]) -> None:
         """Forget refusals of tables that the proxy is no longer to go by."""
         self.refused = {n: v for n, v in self.refused.items() if n in used or n in (names.OUT, names.ROUTE)}
--- a/dunlinlug/manager/wide.py
+++ b/dunlinlug/manager/wide.py
@@ -7,6 +7,7 @@
 from dunlinlug import interface as face
 from dunlinlug.manager.parcel import Parcel
 from dunlinlug.net.grpc import Call
+from dunlinlug.rpc import Status
 from dunlinlug.succession import fence
 from dunlinlug.xds.full import FullStream
 from dunlinlug.xds.stream import Acked, Refused
@@ -20,6 +21,7 @@
                  tell: Callable[[face.Event], None], note: Callable[..., None]) -> None:
         self.proxy, self.call, self.stream, self.joined_at = proxy, call, stream, now
         self.tell, self.note = tell, note
+        self.calls: dict[str, Call] = {}  # by type, where each has a stream of its own
         self.marks: list[tuple[int, float]] = []
         self.sent: dict[str, tuple[str, ...]] = {}  # names by nonce
         self.wake = trio.Event()
@@ -34,21 +36,27 @@
 
     def push(self) -> None:
         """Send what is due, unless the peer has not taken what went before; then the newest goes later."""
-        if self.call.unsent:
+        if any(call.unsent for call in (self.call, *self.calls.values())):
             self.wake.set()
             return
-        for nonce, named, data in self.stream.responses():
+        for type_url, nonce, named, data in self.stream.responses():
             self.sent[nonce] = named
-            self.call.send(data)
+            self.calls.get(type_url, self.call).send(data)
         self._settle(trio.current_time())
 
     async def send(self) -> None:
         while True:
             await self.wake.wait()
             self.wake = trio.Event()
-            await self.call.drained()
+            for call in (self.call, *self.calls.values()):
+                await call.drained()
             self.push()
 
+    def end(self, status: Status, why: str) -> None:
+        for call in (self.call, *self.calls.values()):
+            call.finish(status, why)
+            call.scope.cancel()
+
     def said(self, word: Acked | Refused, now: float) -> None:
         named = self.sent.pop(word.nonce, ())
         if isinstance(word, Refused):
--- a/dunlinlug/xds/full.py
+++ b/dunlinlug/xds/full.py
@@ -106,8 +106,8 @@
     def ready(self) -> bool:
         return bool(self.wanted.get(names.LISTENERS))
 
-    def receive(self, data: bytes) -> list[Said]:
-        """Raises StreamFault for what is not a request of this protocol."""
+    def receive(self, data: bytes, only: str = "") -> list[Said]:
+        """Raises StreamFault for what is not a request of this protocol (or of another type than `only`)."""
         request = discovery_pb2.DiscoveryRequest()
         try:
             request.ParseFromString(data)
@@ -120,8 +120,8 @@
             self.node, self.zone = request.node.id, request.node.locality.zone
             self.metadata = MessageToDict(request.node.metadata)
             said.append(Greeted(self.node))
-        if request.type_url not in ORDER:
-            raise StreamFault(f"type {request.type_url!r} is not served; served are {', '.join(ORDER)}")
+        if request.type_url not in ORDER or only and request.type_url != only:
+            raise StreamFault(f"type {request.type_url!r} is not served; served are {only or ', '.join(ORDER)}")
         if len(request.resource_names) > NAMES:  # Danger: a peer could fill our memory
             raise StreamFault(f"more than {NAMES} resource names")
         newest = self.nonces.get(request.type_url, "")
@@ -140,8 +140,13 @@
         self.refused[request.type_url] = self.sent.get(request.type_url, {})
         return Refused(nonce, request.error_detail.message)
 
-    def responses(self) -> list[tuple[str, tuple[str, ...], bytes]]:
-        """Nonce, names and bytes of each response that is due, in the order to send them."""
+    def forget(self, type_url: str) -> None:
+        """The stream of this type has ended: what it asked for and was sent counts no more."""
+        for kept in (self.wanted, self.sent, self.nonces, self.refused):
+            kept.pop(type_url, None)
+
+    def responses(self) -> list[tuple[str, str, tuple[str, ...], bytes]]:
+        """Type, nonce, names and bytes of each response that is due, in the order to send them."""
         made = []
         for type_url in ORDER:
             offered = self.offered.get(type_url, {})
@@ -158,7 +163,7 @@
             response.version_info = xxh3_64_hexdigest(repr(sorted(versions.items())).encode())
             response.control_plane.identifier = self.control
             response.resources.extend(any_pb2.Any(type_url=type_url, value=body) for _, body, _ in wanted.values())
-            made.append((str(self.last), tuple(versions), response.SerializeToString()))
+            made.append((type_url, str(self.last), tuple(versions), response.SerializeToString()))
         return made
 
     def settled(self) -> bool:
--- a/dunlinlug/xds/names.py
+++ b/dunlinlug/xds/names.py
@@ -7,6 +7,12 @@
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
 FULL = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
+APART = {  # the full form on a stream for each type
+    "/envoy.service.listener.v3.ListenerDiscoveryService/StreamListeners": LISTENERS,
+    "/envoy.service.route.v3.RouteDiscoveryService/StreamRoutes": ROUTES,
+    "/envoy.service.cluster.v3.ClusterDiscoveryService/StreamClusters": CLUSTERS,
+    "/envoy.service.endpoint.v3.EndpointDiscoveryService/StreamEndpoints": ENDPOINTS,
+}
 LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
 
 OUT = "out"  # the ClusterLoadAssignment whose endpoints are withdrawn from every table
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -13,9 +13,12 @@
 import grpc as outside
 import pytest
 import trio
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.route.v3 import route_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 
 from dunlinlug import interface as face
+from dunlinlug.net import grpc
 from dunlinlug.xds import full, names
 from dunlinlug.xds.stream import Acked, Refused, StreamFault
 from tests.running import running, until
@@ -118,6 +121,35 @@
         workers.stop()
 
 
+async def test_a_client_with_a_stream_for_each_type_is_one_proxy(tmp_path: Path) -> None:
+    async with running(tmp_path) as run, grpc.dial(*run.address) as link:
+        calls = {type_url: link.call(path) for path, type_url in names.APART.items()}
+
+        async def take(kind: str, *wanted: str) -> discovery_pb2.DiscoveryResponse:
+            calls[kind].send(ask(kind, list(wanted)))
+            with trio.fail_after(5.0):
+                found = discovery_pb2.DiscoveryResponse.FromString(await calls[kind].receive())
+            calls[kind].send(ask(kind, list(wanted), found.nonce))
+            return found
+
+        await take(names.LISTENERS, "press-book")
+        led = route_pb2.RouteConfiguration.FromString((await take(names.ROUTES, "press-book")).resources[0].value)
+        cluster = led.virtual_hosts[0].routes[0].route.cluster
+        await take(names.CLUSTERS, cluster)
+        held = endpoint_pb2.ClusterLoadAssignment.FromString((await take(names.ENDPOINTS, cluster)).resources[0].value)
+        assert len(held.endpoints) == 6
+        proxies = run.manager.loop.module.proxies  # type: ignore[attr-defined]
+        await until(lambda: len(proxies) == 1 and all(
+            not mark for proxy in proxies.values() for tables in proxy.holds.values() for _, mark in tables))
+        calls[names.CLUSTERS].send(ask(names.ENDPOINTS, [cluster]))
+        with trio.fail_after(5.0), pytest.raises(grpc.CallEnded, match="is not served"):
+            while True:
+                await calls[names.CLUSTERS].receive()
+        assert len(proxies) == 1
+        calls[names.LISTENERS].cancel()
+        await until(lambda: not proxies)
+
+
 # The stream by itself.
 
 
@@ -143,8 +175,9 @@
 def sent(stream: full.FullStream) -> dict[str, tuple[str, tuple[str, ...]]]:
     """By type the nonce and names of what is due."""
     found = {}
-    for nonce, named, data in stream.responses():
-        found[discovery_pb2.DiscoveryResponse.FromString(data).type_url] = (nonce, named)
+    for type_url, nonce, named, data in stream.responses():
+        assert discovery_pb2.DiscoveryResponse.FromString(data).type_url == type_url
+        found[type_url] = (nonce, named)
     return found
 
 
