--- a/dunlinlug/succession/machine.py
+++ b/dunlinlug/succession/machine.py
@@ -104,7 +104,7 @@
     def _stand(self, now: float) -> list[Order]:
         """Ask whether a vote would be given, before a term is used up: a member that was cut off disturbs nobody. It
         costs nothing, and who was asked may have heard the master a beat later than we: soon again."""
-        self.stand_at = now + self.beat + self.uniform(0.0, self.beat)
+        self.stand_at = now + (self.beat + self.uniform(0.0, self.beat)) / 4
         if now < self.promised:
             return []
         return self._ask(now, probe=True)
--- a/dunlinlug/succession/search.py
+++ b/dunlinlug/succession/search.py
@@ -22,6 +22,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 from functools import partial
+from math import ceil
 from random import Random
 from typing import Any
 
@@ -118,7 +119,7 @@
 
 
 def _relative(value: float, now: int) -> int:
-    return max(int(value) - now, PAST)
+    return max(ceil(value) - now, PAST)  # what is due between two ticks is due at the later
 
 
 def _machine_form(m: Machine, now: int) -> tuple[Any, ...]:
