A standby that can't take in what it is given has no place until it can

A whole cut halfway, or of another version, left the machine at a position that its module had not: it could have voted and led with that. It counts as having just started, says so once, and is given the whole again. Tested with wholes cut off.

--- a/dunlinlug/manager/helm.py
+++ b/dunlinlug/manager/helm.py
@@ -48,6 +48,7 @@
         self.held: deque[tuple[int, dict[int, Parcel]]] = deque()
         self.why, self.changed_at, self.takeovers = "started", trio.current_time(), 0
         self.bytes_shared = 0
+        self.fault, self.forgets = "", timing["forgets"]
         loop.leading = self
         service.fenced = self.fenced
         service.close("not master yet")
@@ -124,10 +125,12 @@
                     self.peers.send(to, message)
                 case words.Keep(term, voted, roll):
                     self.kept.put_vote(term, voted, roll.version, list(roll.members))
-                case words.Apply(entry, _):
-                    self._apply(entry)
-                case words.Restore(body, _):
-                    self._restore(body)
+                case words.Apply() | words.Restore():
+                    try:
+                        self._take_in(order)
+                    except PlainFault as fault:
+                        self._unfit(str(fault))
+                        return  # Danger: the answer that comes next would say that we have it
                 case words.WholeFor(to):
                     self._obey(self.machine.whole(trio.current_time(), to, self.whole()))
                 case words.Committed():
@@ -171,6 +174,21 @@
 
     # What a standby takes in, and what it is given.
 
+    def _take_in(self, order: words.Apply | words.Restore) -> None:
+        """Raises PlainFault."""
+        if isinstance(order, words.Apply):
+            self._apply(order.entry)
+        else:
+            self._restore(order.body)
+        self.fault = ""
+
+    def _unfit(self, why: str) -> None:
+        """Say it once, not with each beat; the whole will come again."""
+        self.machine.unfit(trio.current_time(), self.forgets)
+        if why != self.fault:
+            self.fault = why
+            self.note("succession.fault", why=why)
+
     def _apply(self, entry: bytes) -> None:
         batch = facts.read_batch(entry)
         self.service.numbers.update(batch.numbers)
@@ -186,11 +204,7 @@
             self.service.numbers, self.loop.timers, self.kept.body() or b"", self.pins()))
 
     def _restore(self, body: bytes) -> None:
-        try:
-            module, standing = facts.read_whole(body, self.trade)
-        except PlainFault as fault:
-            self.note("succession.fault", why=str(fault))
-            return
+        module, standing = facts.read_whole(body, self.trade)
         self.loop.module, self.loop.timers = module, standing.timers
         self.loop.shift = standing.now - trio.current_time()
         self.desk.restore(standing.epoch, standing.tables, standing.out, standing.zones)
--- a/dunlinlug/succession/machine.py
+++ b/dunlinlug/succession/machine.py
@@ -270,6 +270,11 @@
         self.term, self.voted, self.asking = term, "", None
         return [*orders, Keep(self.term, self.voted, self.roll)]
 
+    def unfit(self, now: float, forgets: float) -> None:
+        """What came could not be taken in. Danger: as it stands we would vote, and be voted for, by a place that we do
+        not have; we have none, like a member that has just started."""
+        self.position, self.blank_until, self.behind = NOWHERE, now + forgets, None
+
     def fenced(self, now: float, term: int) -> list[Order]:
         """A proxy has seen a higher term than ours."""
         return self._newer(now, term) if term > self.term else []
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -179,6 +179,25 @@
         await until(lambda: run.leader() is standby)
 
 
+async def test_a_whole_cut_halfway_leaves_a_member_without_a_place_until_a_good_one_comes(tmp_path: Path) -> None:
+    async with fleet(tmp_path) as run:
+        leader = await run.led()
+        for proxy in run.proxies:
+            await proxy.until(bound)
+        late = next(m for m in run.members if m != leader.helm.me)
+        await run.stop(late)
+        whole, cuts = leader.helm.whole, list[int]()
+        leader.helm.whole = lambda: whole()[:cuts.append(1) or 2000]
+        await run.start(run.nursery, late)
+        await until(lambda: len(cuts) > 2)
+        helm = run.managers[late].helm
+        assert helm.machine.position == words.NOWHERE and helm.state()["behind"] is None
+        assert [said["why"][:18] for member, said in run.said("succession.fault")] == ["not as written her"], "once"
+        assert leader.helm.state()["lags"][late] is None
+        leader.helm.whole = whole
+        await until(lambda: helm.machine.position == leader.helm.machine.position and helm.state()["behind"] == 0)
+
+
 # The parts by themselves.
 
 
