Succession: what two restarts at once lose, as the search found it

With two of three members restarted within a lease all memory of the last batches is gone. The walks found it with their bound on restarts at two; it is said under what is not promised, and the walks go by the promise, one restart.

--- a/dunlinlug/succession/search.py
+++ b/dunlinlug/succession/search.py
@@ -492,7 +492,7 @@
     given = parser.parse_args()
     with ProcessPoolExecutor(given.walkers + 1) as pool:
         breadth = pool.submit(search, given.states, given.seconds, revive_each=997)
-        walks = {seed: pool.submit(swarm, given.seconds, seed, bounds=Bounds(flying=8, lost=3, terms=4, restarts=2))
+        walks = {seed: pool.submit(swarm, given.seconds, seed, bounds=Bounds(flying=8, lost=3, terms=4))
                  for seed in range(given.walkers)}
         for seed, walk_found in walks.items():
             _say(f"walks of seed {seed}", walk_found.result())
