--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -179,6 +179,25 @@
         await until(lambda: run.leader() is standby)
 
 
+async def test_a_successor_goes_by_what_its_own_roster_tells(tmp_path: Path) -> None:
+    """The former master was told that one drains; the successor's roster tells of another, and has the first ready."""
+    async with fleet(tmp_path) as run:
+        first = await run.led()
+        for proxy in run.proxies:
+            await proxy.until(bound)
+        run.roster.tell(w2="draining")
+        for proxy in run.proxies:
+            await proxy.until(lambda h: bound_without(h, 2))
+        run.roster.fault = "down"
+        run.cut(first.helm.me)
+        await run.led(but=first.helm.me)
+        run.roster.fault = ""
+        run.roster.tell(w2="ready", w3="draining")
+        for proxy in run.proxies:
+            await proxy.until(lambda h: bound_without(h, 3))
+            assert WORKERS[3].id in proxy.holdings.out
+
+
 async def test_a_whole_cut_halfway_leaves_a_member_without_a_place_until_a_good_one_comes(tmp_path: Path) -> None:
     async with fleet(tmp_path) as run:
         leader = await run.led()
