--- a/dunlinlug/manager/wide.py
+++ b/dunlinlug/manager/wide.py
@@ -42,6 +42,9 @@
         for type_url, nonce, named, data in self.stream.responses():
             self.sent[nonce] = named
             self.calls.get(type_url, self.call).send(data)
+        # Danger: answers to what is no longer the newest are passed over, so that those nonces would pile up.
+        newest = set(self.stream.nonces.values())
+        self.sent = {nonce: named for nonce, named in self.sent.items() if nonce in newest}
         self._settle(trio.current_time())
 
     async def send(self) -> None:
