The manager serves on the platform: JSON lines as one more path into the loop

What stood: xDS alone, while the platform speaks JSON lines over TCP. What changed: dunlinlug/platform (messages, orders, servers, terms, peers, front, main); tables as laid are split from the desk (manager/laid.py) so that both wires share them; one reader of the settings (told.py) for the adapter and the platform; the loop knows desk, channel and watch by narrow protocols, so that run imports no protobuf, h2, lmdb or grpc.

--- a/dunlinlug/drill/codec.py
+++ b/dunlinlug/drill/codec.py
@@ -6,16 +6,11 @@
 from typing import Any
 
 from dunlinlug import interface as face
+from dunlinlug.told import IN_MILLIS, MICRO, MILLI, read_trade
+from dunlinlug.told import seconds as _s
 
-MICRO = 1e6
-MILLI = 1e3
-REPEATS = {"pure": "inquiry-like", "token": "referenced", "side_effect": "once-only"}
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
-ADMITS = {"ratio": "share", "rps": "rate"}
 FORMS = {"update": "changes", "replace": "whole", "restored": "kept", "unavailable": "failed"}
-LOADS = {"depth": "queue", "mean_ms": "service_s", "concurrent": "held", "load_share": "busy",
-         "tps": "settled_per_s", "err_ps": "voided_per_s"}
-IN_MILLIS = frozenset({"service_s"})
 
 
 class WireFault(Exception):
@@ -78,49 +73,8 @@
     return {name: float(value) / (MILLI if name in IN_MILLIS else 1.0) for name, value in values}
 
 
-def read_trade(body: dict) -> face.Trade:
-    return _guarded("NewInstance", lambda: _trade(body["nonce64"], body["info"]))
-
-
-def _s(micros: float) -> float:
-    return micros / MICRO
-
-
-def _trade(seed: int, info: dict) -> face.Trade:
-    spec, rules, caps = info["specifics"], info["rules"], info.get("caps", {})
-    reporting = info.get("reporting") or {}
-    home_only = spec.get("homeOnly") or []
-    products = tuple(
-        face.Product(
-            name=lane["name"], sla=_s(lane["aimUs"]), expiry=_s(lane["hardLimitUs"]),
-            revenue=float(lane["points"]),
-            late_share=float(lane.get("lateShare") or 0.0), repeats=REPEATS[lane["effect"]],
-            group=lane.get("group") or "all", window=_s(lane.get("windowUs") or 0),
-            home_only=bool(k < len(home_only) and home_only[k]),
-        )
-        for k, lane in enumerate(info["lanes"])
-    )
-    channel = face.Channel(
-        lines_per_s=float(spec["egressPerS"]), message_lines=float(spec["perMessage"]),
-        waiting_most=float(spec["pendingMax"]), transit=_s(spec["transitUs"]),
-        transit_most=_s(spec.get("lateMostUs") or spec["transitUs"]),
-        messages_most=int(spec.get("messagesMost") or 0),
-        messages_span=_s(spec.get("reloadSpanUs") or 10 * MICRO),
-    )
-    duties = face.Duties(
-        bare=_s(spec["emptyForUs"]), drain_grace=_s(rules["drainGraceUs"]),
-        ask_every=_s(rules.get("askEveryUs") or 0),
-        warm_after=_s(rules["coldUs"]), cold_share=float(rules["startCapacity"]),
-        fall_multiple=float(rules["tipMultiple"]), fall_after=_s(rules["fallUs"]),
-    )
-    return face.Trade(
-        seed=seed, zone=info["zone"], products=products, channel=channel, duties=duties,
-        must_ask=info.get("membershipMode") == "subscribe", may_probe=bool(caps.get("probes")),
-        report_fields=tuple(LOADS.get(name, name) for name in reporting.get("fields") or ()),
-        reports_in=reporting.get("how") or "none", report_cycle=_s(spec.get("cycleUs") or MICRO),
-        usual_retry=int(spec.get("usualHow") or 0), admits=ADMITS.get(spec.get("admit"), "none"),
-        slices=int(spec.get("keyRanges") or 0), standing=max(1, int(spec.get("initialSet") or 1)),
-    )
+def read_start(body: dict) -> face.Trade:
+    return _guarded("NewInstance", lambda: read_trade(body["nonce64"], body["info"]))
 
 
 def _worker(row: dict) -> face.Worker:
--- a/dunlinlug/drill/host.py
+++ b/dunlinlug/drill/host.py
@@ -39,7 +39,7 @@
             instances.pop(manager, None)
         elif verb == "NewInstance":
             pending[manager] = []
-            trade = codec.read_trade(body)
+            trade = codec.read_start(body)
             instances[manager] = Hosted(Balancer(trade), trade.report_fields)
         elif manager in instances:
             pending.setdefault(manager, []).append(codec.read_event(verb, body, instances[manager].fields))
--- a/dunlinlug/manager/desk.py
+++ b/dunlinlug/manager/desk.py
@@ -8,46 +8,34 @@
 from dataclasses import dataclass, field
 
 from dunlinlug import interface as face
+from dunlinlug.manager.laid import Bound, Laid, Laying
 from dunlinlug.manager.parcel import Parcel
 from dunlinlug.xds import full, names, render
 
 
 @dataclass(eq=False)
-class Laid:
-    """A table as ordered: weights by worker, and by product the way of trying again and the share let in."""
-
-    name: str
-    lines: dict[str, float] = field(default_factory=dict)
-    levels: dict[int, tuple[int, float]] = field(default_factory=dict)
-
-
-@dataclass(eq=False)
-class Seat:
+class Seat(Bound):
     """A joined proxy: its table by product, tables it was sent, and whether it lays OUT over its tables."""
 
-    overlay: bool
+    overlay: bool = False
     full: bool = False  # takes all resources of a client of the state-of-the-world form
-    bound: dict[int, int] = field(default_factory=dict)
     sent: set[str] = field(default_factory=set)
     stale: set[str] = field(default_factory=set)  # tables to be taken away with the next message
     out_version: str = ""  # of OUT as last sent on this stream
     former: set[tuple[int, int]] = field(default_factory=set)  # product and table, of the full form, as bound before
 
 
-class Desk:
+class Desk(Laying[Seat]):
     """`epoch` names this manager's life; `usual_retry` is the way where a table says none; a try that may be
     followed after any failure may take `try_aims` SLA times (0: no bound)."""
 
     def __init__(self, epoch: int, products: tuple[face.Product, ...], usual_retry: int, message_lines: float,
                  try_aims: float = 0.0) -> None:
+        super().__init__(len(products))
         self.epoch, self.products, self.usual = epoch, products, usual_retry
         self.try_aims = try_aims
         self.message_lines = message_lines
-        self.tables: dict[int, Laid] = {}
-        self.out: set[str] = set()
         self.zones: dict[str, str] = {}
-        self.seats: dict[int, Seat] = {}
-        self.users: dict[int, dict[int, None]] = {}  # by table the proxies bound to it, in the order they were
         self._start()
 
     def restore(self, epoch: int, tables: dict[int, Laid], out: set[str], zones: dict[str, str]) -> None:
@@ -57,104 +45,63 @@
         self._start()
 
     def _start(self) -> None:
-        self.touched: dict[int, float] = {}  # lines by proxy in the reply at hand
+        self.touched = {}
         self.resent: dict[int, set[int]] = {}  # table numbers by proxy, to be sent anew
         self.rerouted: set[int] = set()
-        self.reshut: set[int] = set()
+        self.reshut_at: set[int] = set()
 
-    def listed(self, workers: Iterable[face.Worker]) -> None:
-        self.zones.update((worker.id, worker.zone) for worker in workers)
+    def hear(self, events: Iterable[face.Event]) -> None:
+        """What the module is about to hear; proxies join and leave through the service."""
+        for event in events:
+            if isinstance(event, face.Listed):
+                self.zones.update((worker.id, worker.zone) for worker in event.workers)
 
     def join(self, proxy: int, overlay: bool, holds: Iterable[str], full: bool = False) -> None:
         """A proxy's stream stands; `holds` names the tables it still has from earlier streams."""
         self.leave(proxy)
-        self.seats[proxy] = Seat(overlay, full, stale={name for name in holds if name != names.OUT})
-
-    def leave(self, proxy: int) -> None:
-        self.seats.pop(proxy, None)
-        for users in self.users.values():
-            users.pop(proxy, None)
+        self.seats[proxy] = Seat(overlay=overlay, full=full, stale={name for name in holds if name != names.OUT})
 
     def obey(self, orders: Iterable[face.Order], now: float, concerned: Iterable[int] = ()) -> dict[int, Parcel]:
         """Carry out the orders that concern proxies; the rest are the host's. `concerned` get the reply's mark
         whatever else they get: the module awaits their answers for orders that were refused."""
         self._start()
-        mark = None
-        for order in orders:
-            match order:
-                case face.Share() | face.Clear() | face.Admit():
-                    self._amend(order)
-                case face.Bind(proxy, products, tbl) if proxy in self.seats:
-                    self._bind(proxy, products, tbl)
-                case face.Withdraw(worker, out):
-                    self._withdraw(worker, out)
-                case face.Mark(number, everyone):
-                    mark = number
-                    for proxy in self.seats if everyone else concerned:
-                        if proxy in self.seats:
-                            self.touched.setdefault(proxy, 0.0)
-        return self._parcels(mark, now)
-
-    def _amend(self, order: face.Share | face.Clear | face.Admit) -> None:
-        laid = self.tables.setdefault(order.tbl, Laid(names.table_name(self.epoch, order.tbl)))
-        match order:
-            case face.Share(_, worker, weight):
-                laid.lines[worker] = weight
-                if not weight:
-                    del laid.lines[worker]
-            case face.Admit(_, product, retry, share):
-                laid.levels[product] = (retry, share)
-            case face.Clear(tbl):
-                del self.tables[tbl]
-                for seat in self.seats.values():
-                    if laid.name in seat.sent:
-                        seat.stale.add(laid.name)
-        for proxy in self.users.get(order.tbl, ()):
-            self._touch(proxy, 1.0)
-            self.resent.setdefault(proxy, set()).add(order.tbl)
-            if isinstance(order, face.Admit):
-                self.rerouted.add(proxy)
+        return self._parcels(self.carry_out(orders, concerned), now)
+
+    def named(self, tbl: int) -> str:
+        return names.table_name(self.epoch, tbl)
+
+    def amended(self, order: face.Share | face.Clear | face.Admit, laid: Laid) -> None:
         if isinstance(order, face.Clear):
-            self.users.pop(order.tbl, None)
-
-    def _bind(self, proxy: int, products: tuple[int, ...], tbl: int) -> None:
-        laid = self.tables.setdefault(tbl, Laid(names.table_name(self.epoch, tbl)))
-        seat = self.seats[proxy]
-        for used in seat.bound.values():
-            self.users.get(used, {}).pop(proxy, None)
-        seat.bound.update(dict.fromkeys(products, tbl))
-        seat.former.update((k, tbl) for k in products)
-        for used in seat.bound.values():
-            self.users.setdefault(used, {})[proxy] = None
-        shut = sum(worker in laid.lines for worker in self.out)
-        self._touch(proxy, 1.0 + len(laid.lines) + len(laid.levels) + shut)
+            for seat in self.seats.values():
+                if laid.name in seat.sent:
+                    seat.stale.add(laid.name)
+
+    def changed(self, proxy: int, order: face.Share | face.Clear | face.Admit) -> None:
+        self.resent.setdefault(proxy, set()).add(order.tbl)
+        if isinstance(order, face.Admit):
+            self.rerouted.add(proxy)
+
+    def rebound(self, proxy: int, products: tuple[int, ...], tbl: int) -> None:
+        self.seats[proxy].former.update((k, tbl) for k in products)
         self.resent.setdefault(proxy, set()).add(tbl)
         self.rerouted.add(proxy)
-        self.reshut.add(proxy)
-
-    def _withdraw(self, worker: str, out: bool) -> None:
-        (self.out.add if out else self.out.discard)(worker)
-        for proxy, seat in self.seats.items():
-            uses = {tbl for tbl in seat.bound.values() if worker in self.tables[tbl].lines}
-            if uses or len(seat.bound) < len(self.products):
-                self._touch(proxy, 1.0)
-                self.reshut.add(proxy)
-                if not seat.overlay:
-                    self.resent.setdefault(proxy, set()).update(uses)
+        self.reshut_at.add(proxy)
 
-    def _touch(self, proxy: int, lines: float) -> None:
-        self.touched[proxy] = self.touched.get(proxy, 0.0) + lines
+    def reshut(self, proxy: int, uses: set[int]) -> None:
+        self.reshut_at.add(proxy)
+        if not self.seats[proxy].overlay:
+            self.resent.setdefault(proxy, set()).update(uses)
 
     def _parcels(self, mark: int | None, now: float) -> dict[int, Parcel]:
         made: dict[tuple[int, bool], render.Resource] = {}
-        shut = render.withdrawn(self.out) if self.reshut else None
+        shut = render.withdrawn(self.out) if self.reshut_at else None
         parcels = {}
         for proxy, lines in self.touched.items():
             seat, parcel = self.seats[proxy], Parcel(ordered=now)
             if seat.full:
                 parcel.full = self.offer(seat)
             parcel.lines = lines + self.message_lines + (mark is not None)
-            if shut is not None and proxy in self.reshut and seat.overlay and seat.out_version != shut.version:
+            if shut is not None and proxy in self.reshut_at and seat.overlay and seat.out_version != shut.version:
                 seat.out_version, parcel.tables[names.OUT] = shut.version, shut
             for tbl in sorted(self.resent.get(proxy, ())):
                 if tbl in self.tables and tbl in seat.bound.values():
--- a/dunlinlug/manager/facts.py
+++ b/dunlinlug/manager/facts.py
@@ -12,7 +12,7 @@
 from dunlinlug import interface as face
 from dunlinlug import state
 from dunlinlug.balance import Account, Balancer, Gate, Health
-from dunlinlug.manager.desk import Laid
+from dunlinlug.manager.laid import Laid
 from dunlinlug.succession.plain import Codec, PlainFault
 
 OWN = ("fleet", "account", "health", "gate")  # the module's parts, which a fresh module has already
--- a/dunlinlug/manager/helm.py
+++ b/dunlinlug/manager/helm.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -45,7 +45,7 @@
         self.pins: Callable[[], list[dict[str, Any]]] = list
         self.pinned: Callable[[list[dict[str, Any]]], None] = lambda pins: None
         self.told_pins: list[dict[str, Any]] = []
-        self.held: deque[tuple[int, dict[int, Parcel]]] = deque()
+        self.held: deque[tuple[int, Mapping[int, Parcel]]] = deque()
         self.why, self.changed_at, self.takeovers = "started", trio.current_time(), 0
         self.bytes_shared = 0
         self.fault, self.forgets = "", timing["forgets"]
@@ -69,7 +69,7 @@
         self._obey(self.machine.append(now, entry))
         return self.machine.position[1]
 
-    def hold(self, number: int, parcels: dict[int, Parcel]) -> None:
+    def hold(self, number: int, parcels: Mapping[int, Parcel]) -> None:
         if parcels:
             self.held.append((number, parcels))
         self._release()
--- a/dunlinlug/manager/loop.py
+++ b/dunlinlug/manager/loop.py
@@ -2,16 +2,14 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
 import trio
 
 from dunlinlug import interface as face
-from dunlinlug.manager.channel import Channel
-from dunlinlug.manager.desk import Desk
-from dunlinlug.manager.parcel import Parcel
-from dunlinlug.manager.watch import Watch
+
+Parcel = Any  # one proxy's message of one reply, as the front at hand makes it; `lines` is what it counts for
 
 
 class Decider(Protocol):
@@ -20,6 +18,45 @@
     def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]: ...
 
 
+class Desk(Protocol):
+    """The present state on the wire of the front at hand."""
+
+    def hear(self, events: Iterable[face.Event]) -> None:
+        """Events that the module is about to hear, in order."""
+
+    def obey(self, orders: Iterable[face.Order], now: float, concerned: Iterable[int] = ()) -> Mapping[int, Parcel]:
+        """Carry out one reply; gives a parcel for each proxy concerned."""
+
+
+class Channel(Protocol):
+    """What releases parcels. `waiting` is how many lines wait."""
+
+    waiting: float
+
+    def put(self, now: float, proxy: int, parcel: Parcel) -> list[str]:
+        """Take a parcel; tells which bounds it passes."""
+
+    def due(self, now: float) -> list[tuple[int, Parcel]]:
+        """What is to leave now, in order."""
+
+    def next_at(self) -> float | None:
+        """When the next is due; None while nothing waits."""
+
+    def forget(self, proxy: int) -> None:
+        """A proxy has left: what waits for it is lost."""
+
+    def clear(self) -> None:
+        """All that waits is lost."""
+
+
+class Watch(Protocol):
+    """Judges replies before they are carried out."""
+
+    def look(self, now: float, events: Sequence[face.Event], orders: list[face.Order],
+             tell: Callable[[face.Event], None]) -> tuple[list[face.Order], list[int]]:
+        """The orders to carry out, and the proxies that a refused one concerned."""
+
+
 class Leading(Protocol):
     """Where several managers take over from each other: whether this one may order, and who else has a batch."""
 
@@ -28,7 +65,7 @@
     def share(self, now: float, events: Sequence[face.Event], left_out: list[int]) -> int:
         """Send a batch to the others; gives its number."""
 
-    def hold(self, number: int, parcels: dict[int, Parcel]) -> None:
+    def hold(self, number: int, parcels: Mapping[int, Parcel]) -> None:
         """Parcels that may leave once a majority has this batch."""
 
 
@@ -37,8 +74,8 @@
     events live on `clock`: trio's, plus `shift` after a succession."""
 
     def __init__(self, module: Decider, desk: Desk, channel: Channel, deliver: Callable[[int, Parcel], None],
-                 note: Callable[..., None], watch: Watch | None = None) -> None:
-        self.watch = watch
+                 note: Callable[..., None], watch: Watch | None = None, least: float = 0.0) -> None:
+        self.watch, self.least = watch, least  # the last: seconds from one turn to the next at least
         self.module, self.desk, self.channel, self.deliver, self.note = module, desk, channel, deliver, note
         self.inbox: list[face.Event] = []
         self.come, self.put = trio.Event(), trio.Event()
@@ -59,7 +96,7 @@
                 with trio.move_on_at(self._next_at()):
                     await self.come.wait()
                 self.turn(trio.current_time())
-                await trio.sleep(0)  # whatever else is ready runs before the next turn
+                await trio.sleep(self.least)  # whatever else is ready runs before the next turn
 
     def _next_at(self) -> float:
         leads = self.leading is None or self.leading.leads(trio.current_time())
@@ -75,9 +112,7 @@
         if not events:
             return
         self.batches += 1
-        for event in events:
-            if isinstance(event, face.Listed):
-                self.desk.listed(event.workers)
+        self.desk.hear(events)
         decided, concerned = self.module.decide(now + self.shift, events), list[int]()
         orders = decided
         if self.watch is not None:
@@ -92,7 +127,7 @@
         self._carry_out(now, orders)
         self._explain(events, orders, parcels)
 
-    def release(self, now: float, parcels: dict[int, Parcel]) -> None:
+    def release(self, now: float, parcels: Mapping[int, Parcel]) -> None:
         """Into the channel, in order."""
         for proxy, parcel in parcels.items():
             for bound in self.channel.put(now, proxy, parcel):
@@ -104,9 +139,7 @@
         self.shift = max(self.shift, now - trio.current_time())
         rung = {event.token for event in events if isinstance(event, face.Rung)}
         self.timers = [timer for timer in self.timers if timer[1] not in rung]
-        for event in events:
-            if isinstance(event, face.Listed):
-                self.desk.listed(event.workers)
+        self.desk.hear(events)
         orders = self.module.decide(now, events)
         passed = [order for n, order in enumerate(orders) if n not in left_out]
         self.desk.obey(passed, trio.current_time())
@@ -122,7 +155,8 @@
             elif type(order) in self.others:
                 self.others[type(order)](order)
 
-    def _explain(self, events: Sequence[face.Event], orders: Sequence[face.Order], parcels: dict[int, Parcel]) -> None:
+    def _explain(self, events: Sequence[face.Event], orders: Sequence[face.Order],
+                 parcels: Mapping[int, Parcel]) -> None:
         """One log line for each reply that orders anything: what, for how many, and the events that caused it."""
         kinds = Counter(type(order).__name__ for order in orders if not isinstance(order, face.Wake | face.Note))
         if not kinds:
--- a/dunlinlug/manager/probes.py
+++ b/dunlinlug/manager/probes.py
@@ -9,9 +9,24 @@
 from dunlinlug.net import http
 
 
+def by_id(worker: str) -> tuple[str, int]:
+    """Where a worker listens whose id is its address."""
+    host, _, port = worker.rpartition(":")
+    return host, int(port)
+
+
+def from_json(body: bytes) -> dict[str, float]:
+    """Raises ValueError, TypeError or AttributeError."""
+    return {str(k): float(v) for k, v in json.loads(body or b"{}").items()}
+
+
 class Prober:
-    def __init__(self, path: str, within: float, at_once: int, tell: Callable[[face.Event], None]) -> None:
-        self.path, self.within, self.tell = path, within, tell
+    """`where` gives a worker's address, or raises KeyError; `read` its report from an answer's body."""
+
+    def __init__(self, path: str, within: float, at_once: int, tell: Callable[[face.Event], None],
+                 where: Callable[[str], tuple[str, int]] = by_id,
+                 read: Callable[[bytes], dict[str, float]] = from_json) -> None:
+        self.path, self.within, self.tell, self.where, self.read = path, within, tell, where, read
         self.limit = trio.CapacityLimiter(max(at_once, 1))
 
     async def probe(self, worker: str) -> None:
@@ -24,8 +39,10 @@
             self.tell(face.Probed(worker, result == "ok", result, trio.current_time() - started, load))
 
     async def _ask(self, worker: str) -> tuple[str, dict[str, float]]:
-        host, _, port = worker.rpartition(":")
-        client = http.Client(host, int(port), idle_most=0)
+        try:
+            client = http.Client(*self.where(worker), idle_most=0)
+        except KeyError:
+            return "connect_failed", {}
         try:
             reply = await client.ask("GET", self.path)
         except http.HttpFault as fault:
@@ -35,7 +52,6 @@
         if reply.status != 200:
             return "error", {}
         try:
-            said = json.loads(reply.body or b"{}")
-            return "ok", {str(k): float(v) for k, v in said.items()}
+            return "ok", self.read(reply.body)
         except (ValueError, AttributeError, TypeError):
             return "ok", {}
--- a/dunlinlug/manager/roster.py
+++ b/dunlinlug/manager/roster.py
@@ -6,6 +6,7 @@
 import trio
 
 from dunlinlug import interface as face
+from dunlinlug.manager.anchors import Anchors
 from dunlinlug.net import http
 from dunlinlug.roster import entries
 from dunlinlug.roster.follow import BETWEEN, INDEX, Following
@@ -23,7 +24,7 @@
         self.client, self.state, self.within, self.offset = client, state, within, wall_offset
         self.tell, self.keep, self.note = tell, keep, note
         self.known: dict[str, face.Worker] | None = None
-        self.anchors: dict[str, tuple[float, float]] = {}  # by worker: its start as told, and on our clock
+        self.anchors = Anchors()
         self.failing = False
 
     async def follow(self, patient: bool) -> None:
@@ -76,7 +77,7 @@
     def _news(self, listed: list[face.Worker]) -> None:
         """The first list whole, then what changed; an entry that is missing now is gone. Starts are wall time."""
         self.keep(entries.write(listed))
-        workers = [self._anchored(worker) for worker in listed]
+        workers = [self.anchors.anchored(worker, self.offset()) for worker in listed]
         known = {worker.id: worker for worker in workers}
         if self.known is None:
             self.tell(face.Listed("whole", tuple(workers)))
@@ -87,14 +88,3 @@
                 self.tell(face.Listed("changes", (*changed, *gone)))
                 self.note("roster.news", changed=[f"{w.id} {w.state}" for w in (*changed, *gone)])
         self.known = known
-
-    def _anchored(self, worker: face.Worker) -> face.Worker:
-        """The start on our clock, reckoned once for each start. Danger: a wall clock set back would otherwise make
-        every start look fresh, and the whole fleet cold."""
-        if worker.since is None:
-            return worker
-        wall, since = self.anchors.get(worker.id, (None, 0.0))
-        if wall != worker.since:
-            since = worker.since + self.offset()
-            self.anchors[worker.id] = (worker.since, since)
-        return replace(worker, since=since)
--- /dev/null
+++ b/dunlinlug/platform/front.py
@@ -0,0 +1,219 @@
+"""The manager's address on trio: accepts, moves bytes between sockets and `Peers`, writes orders at once.
+
+A connection is one task. What can't be written at once waits in the connection's own buffer, so that neither the
+decision loop nor another peer waits for a peer that does not read.
+"""
+
+import errno
+import socket
+import traceback
+from collections.abc import Callable
+
+import trio
+
+from dunlinlug.platform import messages
+from dunlinlug.platform.orders import Parcel
+from dunlinlug.platform.peers import Peer, Peers, Turned
+
+READ = 2**16  # bytes read at once
+UNSENT_MOST = 2**20  # bytes that may wait for a peer: minutes of orders; beyond it the peer does not read at all
+JOIN_WITHIN = 1.0  # seconds: the protocol allows to close what has not joined by then
+LAST_LOOK = 0.05  # seconds more for bytes that came while we had no core
+HASTE = 0.25  # seconds that a stranger has at least where there are too many
+FULL_PAUSE = 0.02  # seconds to pause where descriptors have run out: strangers leave within a second
+BACKLOG = 1024  # connections that may wait to be accepted: every proxy at once, and as many strangers
+GOODBYE = 0.2  # seconds for a peer that was told an error to read it, before its connection is closed
+
+
+class Link:
+    """One connection's socket and what waits for it."""
+
+    def __init__(self, sock: socket.socket, now: float) -> None:
+        self.sock, self.since = sock, now
+        self.peer = Peer(self.end)
+        self.unsent = bytearray()
+        self.more = trio.Event()
+        self.scope = trio.CancelScope()
+        self.why = ""
+
+    def write(self, data: bytes) -> None:
+        """Write at once what the socket takes; the rest follows as it takes more."""
+        if not self.unsent:
+            try:
+                data = data[self.sock.send(data):]
+            except BlockingIOError:
+                pass
+            except OSError:
+                return  # its task reads the end of it
+        if data:
+            self.unsent += data
+            self.more.set()
+            if len(self.unsent) > UNSENT_MOST:
+                self.end("it does not read")
+
+    async def flush(self) -> None:
+        """Write what waits, for as long as the connection stands."""
+        while True:
+            await self.more.wait()
+            while self.unsent:
+                await trio.lowlevel.wait_writable(self.sock)
+                try:
+                    del self.unsent[:self.sock.send(self.unsent[:READ])]
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    return
+            self.more = trio.Event()
+
+    def end(self, why: str) -> None:
+        self.why = self.why or why
+        self.scope.cancel()
+
+
+class Front:
+    """All connections. At most `strangers_most` that have not joined stand at once."""
+
+    def __init__(self, peers: Peers, strangers_most: int, note: Callable[..., None]) -> None:
+        self.peers, self.strangers_most, self.note = peers, strangers_most, note
+        self.strangers: dict[Link, None] = {}  # the longest there first
+        self.links: dict[Peer, Link] = {}
+        self.room = trio.Event()
+        self.accepted = 0
+
+    def deliver(self, proxy: int, parcel: Parcel) -> None:
+        peer = self.peers.streams.get(proxy)
+        if peer is None:
+            return
+        if parcel.mark is not None:
+            peer.marks[parcel.mark] = trio.current_time()
+        self.links[peer].write(parcel.data)
+
+    async def serve(self, listener: socket.socket) -> None:
+        """Accept until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.lowlevel.wait_readable(listener)
+                await self._make_room()
+                try:
+                    sock, _ = listener.accept()
+                except BlockingIOError:
+                    continue
+                except OSError as error:
+                    # Danger: with no descriptor left the listener stays readable, and this would spin.
+                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                        self.peers.counts["no descriptor"] += 1
+                        await trio.sleep(FULL_PAUSE)
+                    continue
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.accepted += 1
+                link = Link(sock, trio.current_time())
+                self.links[link.peer] = link
+                self.strangers[link] = None
+                nursery.start_soon(self._attend, link)
+
+    async def _make_room(self) -> None:
+        """Danger: strangers by the hundred would leave no descriptor for proxies: the oldest of them gives way."""
+        while len(self.strangers) >= self.strangers_most:
+            oldest = next(iter(self.strangers))
+            self.room = trio.Event()
+            with trio.move_on_at(oldest.since + HASTE):
+                await self.room.wait()
+            if len(self.strangers) >= self.strangers_most and oldest in self.strangers:
+                oldest.end("there are too many that have not joined")
+                with trio.move_on_after(FULL_PAUSE):
+                    await self.room.wait()
+
+    def _known(self, link: Link) -> None:
+        """It has joined or ended."""
+        if self.strangers.pop(link, self) is None:
+            self.room.set()
+
+    async def _attend(self, link: Link) -> None:
+        """One connection from its first byte to its end."""
+        try:
+            with link.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(link.flush)
+                    if await self._meet(link):
+                        await self._hear(link)
+                    nursery.cancel_scope.cancel()
+        except Exception as error:  # Danger: a mistake of ours in one connection would end them all
+            self.note("link.fault", why="".join(traceback.format_exception(error))[-2000:])
+        finally:
+            self.peers.left(link.peer)
+            self._known(link)
+            del self.links[link.peer]
+            link.sock.close()
+            self.peers.counts[f"ended: {link.why or 'by the peer'}"] += 1
+
+    async def _meet(self, link: Link) -> bool:
+        """Until it joins; tells whether it has."""
+        for patience in (link.since + JOIN_WITHIN, trio.current_time() + JOIN_WITHIN + LAST_LOOK):
+            with trio.move_on_at(patience):
+                while not link.peer.joined:
+                    if not await self._once(link):
+                        return False
+            if link.peer.joined:
+                self._known(link)
+                return True
+        link.why = "it did not join"
+        return False
+
+    async def _hear(self, link: Link) -> None:
+        while await self._once(link):
+            pass
+
+    async def _once(self, link: Link) -> bool:
+        """One reading; False at the connection's end."""
+        await trio.lowlevel.wait_readable(link.sock)
+        try:
+            data = link.sock.recv(READ)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        if not data:
+            return False
+        try:
+            answer = self.peers.take(link.peer, data, trio.current_time())
+        except Turned as fault:
+            link.why = "can't be read" if link.peer.joined else "turned away"
+            self.peers.samples.setdefault(f"{link.why}: {fault}"[:60], data[:100].decode("utf-8", "replace"))
+            await self._goodbye(link, messages.error(str(fault)))
+            return False
+        if answer:
+            link.write(answer)
+        return True
+
+    async def _goodbye(self, link: Link, last: bytes) -> None:
+        """Danger: closed with bytes unread, a connection is reset, and the peer may never see why."""
+        link.write(last)
+        try:
+            link.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        with trio.move_on_after(GOODBYE):
+            while True:
+                await trio.lowlevel.wait_readable(link.sock)
+                try:
+                    if not link.sock.recv(READ):
+                        return
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    return
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Raises OSError if the place is taken."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/dunlinlug/platform/main.py
@@ -0,0 +1,245 @@
+"""The manager on the platform: puts the parts together, follows discovery, reloads and ends on signals."""
+
+import gc
+import json
+import os
+import signal
+import sys
+import time
+import traceback
+from collections import Counter
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+import trio
+
+from dunlinlug import interface as face
+from dunlinlug.balance import Balancer
+from dunlinlug.manager.anchors import Anchors
+from dunlinlug.manager.loop import Decider, Loop
+from dunlinlug.manager.probes import Prober
+from dunlinlug.net import http
+from dunlinlug.platform import front, peers, servers, terms
+from dunlinlug.platform.orders import Orders, Parcel
+
+HEALTH, LOAD = "/healthz", "/load"
+PROBE_WITHIN = 0.4  # seconds: a worker that is well answers in a few milliseconds, one that is full in some hundred
+PROBES_AT_ONCE = 16  # each is a descriptor; more workers than that are rarely in doubt at once
+SUMMARY = 5.0  # seconds between summaries in the log
+OWN_FILES = 32  # descriptors for all but connections at our address: the interpreter's, discovery's, probes'
+
+
+def say(event: str, **said: Any) -> None:
+    """One line of the log, on standard error."""
+    sys.stderr.write(json.dumps({"at": round(time.time(), 3), "event": event, **said}, default=str) + "\n")
+
+
+class Unpaced:
+    """The platform's channel does the pacing: what is put leaves at once. Danger: paced here as well, messages would
+    leave later than the module reckons, and its account of the channel would be wrong."""
+
+    def __init__(self, deliver: Callable[[int, Parcel], None]) -> None:
+        self.deliver, self.waiting = deliver, 0.0
+        self.messages = self.lines = 0.0
+
+    def put(self, now: float, proxy: int, parcel: Parcel) -> list[str]:
+        self.messages += 1
+        self.lines += parcel.lines
+        self.deliver(proxy, parcel)
+        return []
+
+    def due(self, now: float) -> list[tuple[int, Parcel]]:
+        return []
+
+    def next_at(self) -> float | None:
+        return None
+
+    def forget(self, proxy: int) -> None:
+        """Nothing waits here."""
+
+    def clear(self) -> None:
+        """Nothing waits here."""
+
+
+class Discovery:
+    """Follows discovery at `place`, which a reload may move."""
+
+    def __init__(self, place: terms.Address, state: servers.Following, tell: Callable[[face.Event], None],
+                 note: Callable[..., None]) -> None:
+        self.state, self.tell, self.note = state, tell, note
+        self.anchors, self.addresses = Anchors(), dict[str, terms.Address]()
+        self.failing = False
+        self.scope = trio.CancelScope()
+        self.client = http.Client(*place, idle_most=1)
+
+    def move(self, place: terms.Address) -> None:
+        """Ask there from now on; what is under way at the old place is given up."""
+        self.client = http.Client(*place, idle_most=1)
+        self.scope.cancel()
+
+    def news(self, listed: face.Listed) -> None:
+        """Tell of a list with its starts in Unix time."""
+        offset = trio.current_time() - time.time()
+        for worker in listed.workers:
+            if worker.state == "gone":
+                self.anchors.forget(worker.id)
+        workers = tuple(self.anchors.anchored(worker, offset) for worker in listed.workers)
+        self.tell(face.Listed(listed.form, workers))
+
+    def places(self, instances: list[servers.Instance], whole: bool) -> None:
+        if whole:
+            self.addresses.clear()
+        for instance in instances:
+            if instance.lifecycle == "gone":
+                self.addresses.pop(instance.instance_id, None)
+            else:
+                self.addresses[instance.instance_id] = instance.address()
+
+    async def follow(self) -> None:
+        while True:
+            client = self.client
+            with trio.CancelScope() as self.scope:
+                try:
+                    await self._look(client)
+                except servers.ServersFault as fault:
+                    if not self.failing:
+                        self.note("discovery.failed", why=str(fault))
+                    self.failing = True
+                    await client.close()
+                    await trio.sleep(self.state.failed())
+            if client is not self.client:
+                await client.close()
+
+    async def _look(self, client: http.Client) -> None:
+        reply: http.Reply | None = None
+        with trio.move_on_after(self.state.within()):
+            try:
+                reply = await client.ask("GET", self.state.query())
+            except http.HttpFault as fault:
+                raise servers.ServersFault(str(fault)) from None
+        if reply is None or reply.status != 200:
+            raise servers.ServersFault("no answer in time" if reply is None else f"status {reply.status}")
+        answer = servers.read(reply.body)
+        news = self.state.came(answer)
+        if self.failing:
+            self.note("discovery.back", generation=answer.generation)
+        self.failing = False
+        if news is not None:
+            self.places(answer.instances, answer.reset)
+            self.news(news)
+
+
+class Manager:
+    """One manager; `make` builds its decision module."""
+
+    def __init__(self, told: terms.Terms, environment: Mapping[str, str],
+                 make: Callable[[face.Trade], Decider] = Balancer) -> None:
+        self.told, self.environment = told, environment
+        products = tuple(product.name for product in told.trade.products)
+        self.orders = Orders(products, told.trade.usual_retry, told.trade.channel.message_lines)
+        self.peers = peers.Peers(told.zones, told.proxies, products, lambda worker: worker in self.orders.known,
+                                 self._tell)
+        # Danger: strangers must leave a descriptor for every proxy and every collector.
+        joined = told.proxies + peers.COLLECTORS_MOST * len(told.zones) + OWN_FILES
+        self.front = front.Front(self.peers, max(told.limits.sockets - joined, 8), say)
+        self.channel = Unpaced(self.front.deliver)
+        self.counts: Counter[str] = Counter()
+        self.loop = Loop(make(told.trade), self.orders, self.channel, self.front.deliver, self._note,
+                         least=told.turn)
+        self.discovery = Discovery(told.discovery, servers.Following(Random(told.trade.seed).uniform), self._tell, say)
+        path = LOAD if told.trade.reports_in != "none" else HEALTH
+        self.prober = Prober(path, PROBE_WITHIN, PROBES_AT_ONCE, self._tell,
+                             self.discovery.addresses.__getitem__, peers.read_report)
+
+    def _tell(self, event: face.Event) -> None:
+        self.counts[type(event).__name__] += 1
+        self.loop.tell(event)
+
+    def _note(self, event: str, **said: Any) -> None:
+        """The loop tells of every reply; the log gets their sums."""
+        if event != "decided":
+            say(event, **said)
+            return
+        for kind, count in said["orders"].items():
+            self.counts[kind] += count
+
+    async def run(self) -> None:
+        """Serve until SIGTERM; raises OSError if the address is taken."""
+        listener = front.listen(*self.told.listen)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                self.discovery.places(self.told.known.instances, True)
+                self.discovery.news(face.Listed("kept", tuple(
+                    i.worker() for i in self.told.known.instances if i.lifecycle != "gone")))
+                self.loop.others = {face.Probe: lambda order: nursery.start_soon(self.prober.probe, order.worker)}
+                self.loop.turn(trio.current_time())
+                nursery.start_soon(self.loop.run)
+                nursery.start_soon(self.discovery.follow)
+                nursery.start_soon(self.front.serve, listener)
+                nursery.start_soon(self._summaries)
+                gc.collect()
+                gc.freeze()  # what stands from the start need not be gone through again
+                say("ready", name=self.told.name, listen=self.told.listen, workers=len(self.told.known.instances))
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    self._reload()
+                nursery.cancel_scope.cancel()
+        listener.close()
+        say("stopped", batches=self.loop.batches)
+
+    def _reload(self) -> None:
+        """Follow discovery where the file says now; a file that can't be read changes nothing."""
+        try:
+            fresh = terms.reread(self.environment)
+        except terms.TermsFault as fault:
+            say("reload.refused", why=str(fault))
+            return
+        if fresh.discovery != self.told.discovery:
+            self.discovery.move(fresh.discovery)
+        fixed = [name for name in ("name", "listen", "limits", "trade", "zones", "proxies", "turn")
+                 if getattr(fresh, name) != getattr(self.told, name)]
+        self.told = terms.moved(self.told, fresh.discovery)
+        say("reload.done", discovery=fresh.discovery, needs_restart=fixed)
+
+    async def _summaries(self) -> None:
+        """What happened since the last line, in sums."""
+        batches = 0
+        while True:
+            await trio.sleep(SUMMARY)
+            say("summary", batches=self.loop.batches - batches, joined=len(self.peers.streams),
+                collectors={zone: len(kept) for zone, kept in self.peers.collectors.items()},
+                strangers=len(self.front.strangers), accepted=self.front.accepted, workers=len(self.orders.listed),
+                out=len(self.orders.out), messages=round(self.channel.messages), lines=round(self.channel.lines),
+                cpu=round(time.process_time(), 2), counts=dict(self.counts), peers=dict(self.peers.counts),
+                samples=self.peers.samples)
+            batches = self.loop.batches
+            self.counts.clear()
+            self.peers.counts.clear()
+            self.peers.samples.clear()
+
+
+def serve(environment: Mapping[str, str]) -> int:
+    """Run a manager as the environment says; gives the exit status: 2 for what can't be used, 1 for a fault."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: a reload before we listen for it would end us
+    try:
+        told = terms.read(environment)
+    except terms.TermsFault as fault:
+        print(f"dunlinlug: {fault}", file=sys.stderr)
+        return 2
+    try:
+        trio.run(Manager(told, environment).run)
+    except OSError as fault:
+        print(f"dunlinlug: cannot serve: {fault}", file=sys.stderr)
+        return 1
+    except Exception:
+        traceback.print_exc()
+        return 1
+    return 0
+
+
+def main() -> None:
+    status = serve(os.environ)
+    sys.stderr.flush()
+    os._exit(status)  # nothing is kept: an interpreter's tidying only takes time
--- /dev/null
+++ b/dunlinlug/platform/servers.py
@@ -0,0 +1,108 @@
+"""Discovery's lists: answers to the module's workers, and what to ask next. No socket and no clock.
+
+Times on the wire are Unix milliseconds; starts leave here in Unix seconds and are put on the module's clock by whoever
+has one.
+"""
+
+from collections.abc import Callable
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from dunlinlug import interface as face
+from dunlinlug.platform.messages import Name
+
+# Seconds that a call may wait. What a waiting call is to tell counts as told 2 s after its end, without one after 6 s:
+# with 2 s a silent connection is left, and the list asked for anew, well before either.
+WAIT = 2.0
+WITHIN = 0.5  # seconds beyond the wait for an answer: the agent is on our own machine
+FIRST, MOST = 0.05, 0.5  # seconds to pause after a failure, doubled up to the most: the agent answers without cost
+PATH = "/v1/servers"
+
+
+class ServersFault(Exception):
+    """An answer that is not a list as agreed."""
+
+
+class Instance(msgspec.Struct, rename="camel", frozen=True):
+    instance_id: Name
+    host_port: Annotated[str, Meta(min_length=3, max_length=128)]
+    zone: Name
+    lifecycle: Literal["ready", "draining", "gone"]
+    machine_type: str = ""
+    cell: int = 0
+    weight: Annotated[float, Meta(ge=0.0, le=1e9)] | None = None
+    started_at_ms: Annotated[float, Meta(ge=0.0)] = 0.0
+
+    def worker(self) -> face.Worker:
+        """As the module knows it, the start in Unix seconds."""
+        return face.Worker(self.instance_id, self.zone, self.machine_type, self.cell, self.lifecycle, self.weight,
+                           self.started_at_ms / 1000.0 if self.started_at_ms else None)
+
+    def address(self) -> tuple[str, int]:
+        """Raises ServersFault."""
+        host, _, port = self.host_port.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ServersFault(f"{self.instance_id} is at {self.host_port!r}, not an address and a port")
+        return host, int(port)
+
+
+class Servers(msgspec.Struct, frozen=True):
+    generation: Annotated[int, Meta(ge=0)]
+    reset: bool
+    instances: list[Instance]
+
+
+_decoder = msgspec.json.Decoder(Servers)
+
+
+def read(body: bytes) -> Servers:
+    """Raises ServersFault."""
+    try:
+        found = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ServersFault(str(error)) from None
+    for instance in found.instances:
+        instance.address()
+    return found
+
+
+class Following:
+    """Which version is held and what to ask: the whole list after a start or a version that went back, else a watch."""
+
+    def __init__(self, uniform: Callable[[float, float], float]) -> None:
+        self.uniform = uniform
+        self.generation: int | None = None
+        self.failures = 0
+
+    def query(self) -> str:
+        if self.generation is None:
+            return PATH
+        return f"{PATH}?index={self.generation}&wait={round(WAIT * 1000)}"
+
+    def within(self) -> float:
+        """Seconds for the answer to the next query."""
+        return WITHIN if self.generation is None else WAIT + WITHIN
+
+    def came(self, answer: Servers) -> face.Listed | None:
+        """News for the module; None where nothing changed, or where the whole list is to be asked for first.
+
+        Raises ServersFault for changes to a list that is not held."""
+        before, self.failures = self.generation, 0
+        if answer.reset:
+            self.generation = answer.generation
+            return face.Listed("whole", tuple(i.worker() for i in answer.instances if i.lifecycle != "gone"))
+        if before is None:
+            raise ServersFault("changes, though the whole list was asked for")
+        if answer.generation < before:
+            self.generation = None  # Danger: discovery was put back; its changes are to another list than ours
+            return None
+        self.generation = answer.generation
+        return face.Listed("changes", tuple(i.worker() for i in answer.instances)) if answer.instances else None
+
+    def failed(self) -> float:
+        """Seconds to pause before the next query, drawn so that managers spread."""
+        self.failures += 1
+        most = min(FIRST * 2.0 ** min(self.failures - 1, 10), MOST)
+        return self.uniform(most / 2, most)
--- /dev/null
+++ b/dunlinlug/told.py
@@ -0,0 +1,65 @@
+"""What a manager is told at its start, as the simulator's first message and the platform's configuration write it.
+
+One reader for both: the adapter and the platform's front give the same object. Standard library alone.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from dunlinlug import interface as face
+
+MICRO, MILLI = 1e6, 1e3
+REPEATS = {"pure": "inquiry-like", "token": "referenced", "side_effect": "once-only"}
+ADMITS = {"ratio": "share", "rps": "rate"}
+LOADS = {"depth": "queue", "mean_ms": "service_s", "concurrent": "held", "load_share": "busy",
+         "tps": "settled_per_s", "err_ps": "voided_per_s"}
+IN_MILLIS = frozenset({"service_s"})
+
+
+def seconds(micros: float) -> float:
+    return micros / MICRO
+
+
+def read_trade(seed: int, info: Mapping[str, Any]) -> face.Trade:
+    """`info` as parsed from JSON, times in microseconds. Raises KeyError, TypeError, ValueError or AttributeError for
+    what is missing or of another kind."""
+    spec, rules, caps = info["specifics"], info["rules"], info.get("caps") or {}
+    reporting = info.get("reporting") or {}
+    home_only = spec.get("homeOnly") or []
+    products = tuple(
+        face.Product(
+            name=lane["name"], sla=seconds(lane["aimUs"]), expiry=seconds(lane["hardLimitUs"]),
+            revenue=float(lane["points"]),
+            late_share=float(lane.get("lateShare") or 0.0), repeats=REPEATS[lane["effect"]],
+            group=lane.get("group") or "all", window=seconds(lane.get("windowUs") or 0),
+            home_only=bool(k < len(home_only) and home_only[k]),
+        )
+        for k, lane in enumerate(info["lanes"])
+    )
+    return face.Trade(
+        seed=seed, zone=info["zone"], products=products, channel=_channel(spec), duties=_duties(spec, rules),
+        must_ask=info.get("membershipMode") == "subscribe", may_probe=bool(caps.get("probes")),
+        report_fields=tuple(LOADS.get(name, name) for name in reporting.get("fields") or ()),
+        reports_in=reporting.get("how") or "none", report_cycle=seconds(spec.get("cycleUs") or MICRO),
+        usual_retry=int(spec.get("usualHow") or 0), admits=ADMITS.get(spec.get("admit"), "none"),
+        slices=int(spec.get("keyRanges") or 0), standing=max(1, int(spec.get("initialSet") or 1)),
+    )
+
+
+def _channel(spec: Mapping[str, Any]) -> face.Channel:
+    return face.Channel(
+        lines_per_s=float(spec["egressPerS"]), message_lines=float(spec["perMessage"]),
+        waiting_most=float(spec["pendingMax"]), transit=seconds(spec["transitUs"]),
+        transit_most=seconds(spec.get("lateMostUs") or spec["transitUs"]),
+        messages_most=int(spec.get("messagesMost") or 0),
+        messages_span=seconds(spec.get("reloadSpanUs") or 10 * MICRO),
+    )
+
+
+def _duties(spec: Mapping[str, Any], rules: Mapping[str, Any]) -> face.Duties:
+    return face.Duties(
+        bare=seconds(spec["emptyForUs"]), drain_grace=seconds(rules["drainGraceUs"]),
+        ask_every=seconds(rules.get("askEveryUs") or 0),
+        warm_after=seconds(rules["coldUs"]), cold_share=float(rules["startCapacity"]),
+        fall_multiple=float(rules["tipMultiple"]), fall_after=seconds(rules["fallUs"]),
+    )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -86,7 +86,7 @@
                                              "costTimeUs": 250000, "windowUs": 500000, "usage": [3, 14.5]},
                            ("queue", "service_s"))
     assert (met.took, met.span, met.load) == (0.25, 0.5, {"queue": 3.0, "service_s": 0.0145})
-    assert codec.read_trade(start("manager/0")[0]).products[1].repeats == "referenced"
+    assert codec.read_start(start("manager/0")[0]).products[1].repeats == "referenced"
 
 
 @pytest.mark.parametrize(("line", "fault"), [
