--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -49,7 +49,8 @@
             desk.peers.take(peer, data[cut:], 1.0)
         assert desk.told == [
             face.Met("a", "s-5be2a07c", 212, 3, 41.7 / 1000, 1.0, {"held": 7.0, "busy": 0.61}),
-            face.Joined(17, "a", 21.5, True), face.Answered(17, 905, 310.4 / 1000), face.Asked(17, "lookup", 19, 0, 1.0)]
+            face.Joined(17, "a", 21.5, True), face.Answered(17, 905, 310.4 / 1000),
+            face.Asked(17, "lookup", 19, 0, 1.0)]
 
 
 def test_a_probe_is_answered_on_any_connection() -> None:
