Fewer messages: idle lines ride along, joiners get whole tables at a short queue

A withdrawal was followed by a message of its own that lowered the withdrawn worker's line, which nobody uses by then; its change waited because spend() counted the heads of the very reply that it could have ridden on. Joiners got a small table and the whole one after it though the channel was idle.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -427,17 +427,20 @@
             more = sum(n if p in lines else n + head for p, n in cost.items())
             most = account.channel.waiting_most * (1.0 - self.KEPT_BACK[rank])
             scarce = any(account.messages_left(p, now) <= self.KEPT[rank] for p in cost if p not in lines)
-            if waiting > budget * account.rate or waiting + more > most or scarce:
+            before = account.waiting() if cost.keys() <= lines.keys() else waiting  # its heads are paid already
+            if before > budget * account.rate or waiting + more > most or scarce:
                 return False
             lines.update({p: lines.get(p, head) + n for p, n in cost.items()})
             return True
 
-        def bind(p: int, products: tuple[int, ...], table: Table, rank: int, budget: float = inf) -> None:
+        def bind(p: int, products: tuple[int, ...], table: Table, rank: int, budget: float = inf) -> bool:
             cost = 1.0 + self.products + len(table.shares) + len(self.out & table.shares.keys())
-            if spend({p: cost}, rank, budget):
-                orders.append(face.Bind(p, products, table.number))
-                self.proxies[p].bound_at, holds = now, self.proxies[p].holds
-                holds.update({k: [*holds.get(k, []), (table, mark)] for k in products})
+            if not spend({p: cost}, rank, budget):
+                return False
+            orders.append(face.Bind(p, products, table.number))
+            self.proxies[p].bound_at, holds = now, self.proxies[p].holds
+            holds.update({k: [*holds.get(k, []), (table, mark)] for k in products})
+            return True
 
         health = self.health
         for i in wanted.parts:
@@ -457,6 +460,9 @@
         usable = wanted.parts.keys() - wanted.out - self.barred.keys()
         for p, proxy in self.proxies.items() if crowded else ():
             top = [held[-1][0].shares.keys() for held in proxy.holds.values()]
+            whole = {self.current[0]} if len(set(self.current.values())) == 1 and not top else ()
+            if any(bind(p, tuple(self.current), table, 1, self.TURN) for table in whole):
+                continue  # a short queue carries it whole at once
             if not top or usable and any(usable.isdisjoint(t) or mass and len(t & fresh) > few for t in top):
                 bind(p, tuple(range(self.products)), self._starter(orders, p, wanted, now), 0)
         # Withdrawals first, without stages, the rules' ahead. Danger: all else in a slow channel's way.
@@ -495,7 +501,9 @@
                 lines_each = (2 * self.TURN * account.rate - account.waiting()) / max(len(bound), 1)
                 most = max(1, int(lines_each - account.channel.message_lines))
                 moved = self._moved(table, want, wanted.out)[:most]
-                if not moved or not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
+                # Who is out gets nothing whatever its line says: that line waits for a message that goes anyway.
+                idly = not any(i in want and health.cap[i] for i in moved) and not bound <= lines.keys()
+                if not moved or idly or not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
                     continue
                 for i in moved:
                     orders.append(face.Share(table.number, self.fleet.ids[i], want.get(i, 0.0)))
