--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -502,7 +502,7 @@
                 lines_each = (2 * self.TURN * account.rate - account.waiting()) / max(len(bound), 1)
                 most = max(1, int(lines_each - account.channel.message_lines))
                 moved = self._moved(table, want, wanted.out)[:most]
-                # Who is out gets nothing whatever its line says: that line waits for a message that goes anyway.
+                # Who is out gets nothing whatever its line says: it waits for a message that goes anyway.
                 idly = not any(i in want and health.cap[i] for i in moved) and not bound <= lines.keys()
                 if not moved or idly or not spend(dict.fromkeys(bound, float(len(moved))), 3, self.TURN):
                     continue
