--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -427,7 +427,7 @@
             more = sum(n if p in lines else n + head for p, n in cost.items())
             most = account.channel.waiting_most * (1.0 - self.KEPT_BACK[rank])
             scarce = any(account.messages_left(p, now) <= self.KEPT[rank] for p in cost if p not in lines)
-            # Danger: counted against itself, a reply whose heads are paid would leave changes for one of their own.
+            # Danger: counted against itself, a reply whose heads are paid would leave changes for another.
             before = account.waiting() if cost.keys() <= lines.keys() else waiting
             if before > budget * account.rate or waiting + more > most or scarce:
                 return False
