Strangers cost a task less each

Each connection had a nursery and a second task that waits to write, which only what has joined needs.

--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -18,7 +18,6 @@
 READ = 2**16  # bytes read at once
 UNSENT_MOST = 2**20  # bytes that may wait for a peer: minutes of orders; beyond it the peer does not read at all
 JOIN_WITHIN = 1.0  # seconds: the protocol allows to close what has not joined by then
-LAST_LOOK = 0.05  # seconds more for bytes that came while we had no core
 HASTE = 0.25  # seconds that a stranger has at least where there are too many
 FULL_PAUSE = 0.02  # seconds to pause where descriptors have run out: strangers leave within a second
 BACKLOG = 1024  # connections that may wait to be accepted: every proxy at once, and as many strangers
@@ -133,11 +132,12 @@
         """One connection from its first byte to its end."""
         try:
             with link.scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(link.flush)
-                    if await self._meet(link):
-                        await self._hear(link)
-                    nursery.cancel_scope.cancel()
+                if await self._meet(link):
+                    async with trio.open_nursery() as nursery:  # strangers by the hundred are spared this
+                        nursery.start_soon(link.flush)
+                        while await self._once(link):
+                            pass
+                        nursery.cancel_scope.cancel()
         except Exception as error:  # Danger: a mistake of ours in one connection would end them all
             self.note("link.fault", why="".join(traceback.format_exception(error))[-2000:])
         finally:
@@ -149,24 +149,26 @@
 
     async def _meet(self, link: Link) -> bool:
         """Until it joins; tells whether it has."""
-        for patience in (link.since + JOIN_WITHIN, trio.current_time() + JOIN_WITHIN + LAST_LOOK):
-            with trio.move_on_at(patience):
-                while not link.peer.joined:
-                    if not await self._once(link):
-                        return False
-            if link.peer.joined:
-                self._known(link)
-                return True
+        with trio.move_on_at(link.since + JOIN_WITHIN):
+            while not link.peer.joined:
+                if not await self._once(link):
+                    return False
+        # Danger: where we had no core for a while, a joining may be waiting that came in time.
+        if not link.peer.joined and not await self._read(link):
+            return False
+        if link.peer.joined:
+            self._known(link)
+            return True
         link.why = "it did not join"
         return False
 
-    async def _hear(self, link: Link) -> None:
-        while await self._once(link):
-            pass
-
     async def _once(self, link: Link) -> bool:
         """One reading; False at the connection's end."""
         await trio.lowlevel.wait_readable(link.sock)
+        return await self._read(link)
+
+    async def _read(self, link: Link) -> bool:
+        """Take what has come, if anything."""
         try:
             data = link.sock.recv(READ)
         except BlockingIOError:
