--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -196,6 +196,13 @@
             messages.read(line)
 
 
+def test_depth_is_bounded_before_anything_is_parsed() -> None:
+    deep = HELLO[:-1] + b',"x":' + b"[" * messages.DEEPEST + b"]" * messages.DEEPEST + b"}"
+    with pytest.raises(Unfit, match="deep"):
+        messages.read(deep)
+    assert messages.read(HELLO[:-1] + b',"x":[[]]}') == messages.Hello(17, "a", 21.5, True)
+
+
 LIST = (b'{"generation":41,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:8081",'
         b'"zone":"a","machineType":"m2","cell":3,"lifecycle":"ready","weight":1.0,"startedAtMs":0}]}')
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -13,6 +13,7 @@
 import trio
 
 from dunlinlug.net import http
+from dunlinlug.platform.main import serve
 
 ROOT = Path(__file__).parent.parent
 ZONES = ("a", "b")
@@ -263,7 +264,8 @@
 
 async def test_hundreds_of_silent_strangers_leave_room_for_every_proxy(tmp_path: Path) -> None:
     async with manager(tmp_path, sockets=128) as running, trio.open_nursery() as nursery:
-        ended = 0
+        ended, most = 0, 0
+        open_files = Path(f"/proc/{running.process.pid}/fd")
 
         async def stranger(n: int) -> None:
             nonlocal ended
@@ -277,6 +279,13 @@
                     pass
             ended += 1
 
+        async def count() -> None:
+            nonlocal most
+            while True:
+                most = max(most, len(list(open_files.iterdir())))
+                await trio.sleep(0.01)
+
+        nursery.start_soon(count)
         for n in range(300):
             nursery.start_soon(stranger, n)
         with trio.fail_after(12):
@@ -287,6 +296,9 @@
                 await proxy.table()
             while ended < 300:
                 await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+        # Room is kept for every proxy and collector, whoever else stands at the door.
+        assert 0 < most < 128 - 3 * len(ZONES)
     assert not running.said("link.fault")
 
 
@@ -301,6 +313,14 @@
     assert ended.returncode == 2 and why in ended.stderr and ended.stderr.count("\n") == 1
 
 
+def test_a_reload_that_comes_too_early_ends_nothing() -> None:
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        assert serve({}) == 2 and signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 def test_run_imports_nothing_of_the_other_fronts() -> None:
     heavy = ["google.protobuf", "h2", "lmdb", "grpc", "envoy", "structlog", "msgpack", "cattrs"]
     code = f"import sys, dunlinlug.platform.main; print([name for name in {heavy} if name in sys.modules])"
