A reload whose list names no address is refused, and ends nothing

Seen on reading: terms._read let ServersFault through for a known worker with a bad hostPort, so that SIGHUP with such a file would have ended the manager. Test: four bad files, each refused, the manager goes on.

--- a/dunlinlug/platform/terms.py
+++ b/dunlinlug/platform/terms.py
@@ -8,7 +8,7 @@
 from msgspec import Meta
 
 from dunlinlug import interface as face
-from dunlinlug.platform.servers import Servers
+from dunlinlug.platform.servers import Servers, ServersFault
 from dunlinlug.told import read_trade, seconds
 
 Address = tuple[str, int]
@@ -95,8 +95,11 @@
         raise TermsFault(f"{path}: settings lack {error}") from None
     except (TypeError, ValueError, AttributeError) as error:
         raise TermsFault(f"{path}: settings hold what can't be used: {error}") from None
-    for instance in told.known.instances:
-        instance.address()
+    try:
+        for instance in told.known.instances:
+            instance.address()
+    except ServersFault as error:
+        raise TermsFault(f"{path}: known: {error}") from None
     return Terms(
         name=variables.get("ROUTER_NAME") or told.name,
         listen=address(variables.get("ROUTER_LISTEN") or told.listen, "listen"),
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -217,9 +217,12 @@
         await proxy.hello(3)
         await proxy.table()
         whole = running.config.read_text()
-        running.config.write_text(whole[:100])
-        running.process.send_signal(signal.SIGHUP)
-        assert "config.json" in (await running.until_said("reload.refused"))["why"]
+        nowhere = json.dumps({**json.loads(whole), "known": {"generation": 1, "reset": True, "instances": [
+            instance(1, hostPort="nowhere")]}})
+        for n, bad in enumerate((whole[:100], "", nowhere, whole.replace('"dcs"', '"none"')), 1):
+            running.config.write_text(bad)
+            running.process.send_signal(signal.SIGHUP)
+            assert "config.json" in (await running.until_said("reload.refused", n))["why"]
         doors = await trio.open_tcp_listeners(0, host="127.0.0.1")
         other = Discovery([instance(n) for n in (0, 1, 9)])
         nursery.start_soon(http.serve, other.answer, doors)
