--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -1,12 +1,15 @@
 """The platform's lines: the protocol's examples, bytes in pieces, and all that is no message."""
 
+import contextlib
 import json
+import socket
 from random import Random
 
 import pytest
 
 from dunlinlug import interface as face
 from dunlinlug.platform import messages, peers, servers
+from dunlinlug.platform.front import UNSENT_MOST, Link
 from dunlinlug.platform.messages import Push, Unfit, Unreadable, write
 from dunlinlug.platform.peers import COLLECTORS_MOST, Peer, Peers, Turned
 
@@ -161,20 +164,36 @@
     assert len(desk.told) == 2  # what came before it counts
 
 
-def test_fuzzed_bytes_raise_nothing_but_what_is_foreseen() -> None:
-    random = Random(20)
+def test_fuzzed_peers_end_alone_and_good_streams_among_them_are_undisturbed() -> None:
+    random, desk = Random(20), Desk()
+    good = desk.peer()
+    desk.say(good, HELLO.replace(b"17", b"3"))
     for _ in range(4000):
-        desk = Desk()
         peer = desk.peer()
         if random.random() < 0.5:
             desk.say(peer, random.choice((HELLO, AGENT)))
-        data = bytearray(random.choice(EXAMPLES) + b"\n")
+        data = bytearray(random.choice([line for line in EXAMPLES if line is not HELLO]) + b"\n")
         for _ in range(random.randrange(1, 6)):
             data[random.randrange(len(data))] = random.randrange(256)
-        try:
+        with contextlib.suppress(Turned):
             desk.peers.take(peer, bytes(data), 1.0)
-        except Turned:
-            continue
+        desk.peers.left(peer)
+        desk.told.clear()
+        desk.say(good, DEMAND.replace(b"17", b"3"))
+        assert desk.told == [face.Asked(3, "lookup", 19, 0, 1.0)] and desk.peers.streams == {3: good}
+
+
+def test_what_waits_for_a_peer_that_does_not_read_is_bounded() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        link = Link(ours, 0.0)
+        for _ in range(100):
+            link.write(b"x" * 2**16)
+            if link.why:
+                break
+        assert link.why == "it does not read" and len(link.unsent) <= UNSENT_MOST + 2**16
+        assert link.scope.cancel_called
 
 
 def test_orders_are_written_as_the_protocol_s_page_has_them() -> None:
