--- a/dunlinlug/manager/anchors.py
+++ b/dunlinlug/manager/anchors.py
@@ -1,5 +1,6 @@
 """Starts of workers, told in wall time, on the module's clock."""
 
+from collections.abc import Container
 from dataclasses import replace
 
 from dunlinlug import interface as face
@@ -22,6 +23,6 @@
             self.starts[worker.id] = (worker.since, since)
         return replace(worker, since=since)
 
-    def forget(self, worker: str) -> None:
-        """The worker is gone."""
-        self.starts.pop(worker, None)
+    def keep(self, workers: Container[str]) -> None:
+        """All others are gone. Danger: over new ids for good they would pile up."""
+        self.starts = {worker: start for worker, start in self.starts.items() if worker in workers}
--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -95,6 +95,8 @@
                 await self._make_room()
                 try:
                     sock, _ = listener.accept()
+                    sock.setblocking(False)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # may already have been reset
                 except BlockingIOError:
                     continue
                 except OSError as error:
@@ -103,8 +105,6 @@
                         self.peers.counts["no descriptor"] += 1
                         await trio.sleep(FULL_PAUSE)
                     continue
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self.accepted += 1
                 link = Link(sock, trio.current_time())
                 self.links[link.peer] = link
@@ -181,8 +181,9 @@
             answer = self.peers.take(link.peer, data, trio.current_time())
         except Turned as fault:
             link.why = "can't be read" if link.peer.joined else "turned away"
-            self.peers.samples.setdefault(f"{link.why}: {fault}"[:60], data[:100].decode("utf-8", "replace"))
-            await self._goodbye(link, messages.error(str(fault)))
+            self.peers.sample(f"{link.why}: {fault}", data)
+            if not link.peer.joined:  # to collectors nothing is ever written, and what is left is left at once
+                await self._goodbye(link, messages.error(str(fault)))
             return False
         if answer:
             link.write(answer)
--- a/dunlinlug/platform/peers.py
+++ b/dunlinlug/platform/peers.py
@@ -10,6 +10,7 @@
 from dunlinlug.platform.messages import Ack, Agent, Demand, Hello, Outcomes, Unfit, Unreadable
 from dunlinlug.told import IN_MILLIS, LOADS
 
+SAMPLES_MOST = 8  # kinds of fault shown in one summary: a flood of different ones must not fill log and memory
 COLLECTORS_MOST = 3  # streams kept for each zone: the old one, its successor and one that only says so
 EARLY = 0.25  # seconds by which an answer's own time may be longer than we saw: clocks of machines
 IN_WORDS = {"queue": "queue", "latency_ms": "service_s", "inflight": "held", "util": "busy", "qps": "settled_per_s",
@@ -26,7 +27,6 @@
     proxy: int | None = None
     marks: dict[int, float] = field(default_factory=dict)  # asked and not answered, with when
     reported_at: float = -1.0  # when a collector last brought a report
-    spoilt: int = 0
 
     @property
     def joined(self) -> bool:
@@ -34,7 +34,7 @@
 
 
 class Turned(Exception):
-    """The peer is to be sent the message `error` with this text, if it has not joined, and then closed."""
+    """The peer is to be closed; if it has not joined, it is sent the message `error` with this text first."""
 
 
 class Peers:
@@ -74,13 +74,17 @@
         except Unfit as fault:
             if not peer.joined:
                 raise Turned(str(fault)) from None
-            self.spoil(peer, str(fault), line)
+            self._spoil(str(fault), line)
         return b""
 
-    def spoil(self, peer: Peer, why: str, line: bytes) -> None:
-        peer.spoilt += 1
+    def _spoil(self, why: str, line: bytes) -> None:
         self.counts["spoilt"] += 1
-        self.samples.setdefault(why[:60], line[:200].decode("utf-8", "replace"))
+        self.sample(why, line)
+
+    def sample(self, why: str, data: bytes) -> None:
+        """Keep one of each kind of fault for the next summary."""
+        if len(self.samples) < SAMPLES_MOST:
+            self.samples.setdefault(why[:60], data[:200].decode("utf-8", "replace"))
 
     # Joining.
 
--- a/dunlinlug/platform/servers.py
+++ b/dunlinlug/platform/servers.py
@@ -25,6 +25,17 @@
     """An answer that is not a list as agreed."""
 
 
+Address = tuple[str, int]
+
+
+def address(text: str, what: str) -> Address:
+    """Raises ServersFault, which says that `what` is not an address and a port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ServersFault(f"{what} is {text!r}, not an address and a port")
+    return host, int(port)
+
+
 class Instance(msgspec.Struct, rename="camel", frozen=True):
     instance_id: Name
     host_port: Annotated[str, Meta(min_length=3, max_length=128)]
@@ -40,12 +51,9 @@
         return face.Worker(self.instance_id, self.zone, self.machine_type, self.cell, self.lifecycle, self.weight,
                            self.started_at_ms / 1000.0 if self.started_at_ms else None)
 
-    def address(self) -> tuple[str, int]:
+    def address(self) -> Address:
         """Raises ServersFault."""
-        host, _, port = self.host_port.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
-            raise ServersFault(f"{self.instance_id} is at {self.host_port!r}, not an address and a port")
-        return host, int(port)
+        return address(self.host_port, f"the place of {self.instance_id}")
 
 
 class Servers(msgspec.Struct, frozen=True):
--- a/dunlinlug/platform/terms.py
+++ b/dunlinlug/platform/terms.py
@@ -8,11 +8,9 @@
 from msgspec import Meta
 
 from dunlinlug import interface as face
-from dunlinlug.platform.servers import Servers, ServersFault
+from dunlinlug.platform.servers import Address, Servers, ServersFault, address
 from dunlinlug.told import read_trade, seconds
 
-Address = tuple[str, int]
-
 
 class TermsFault(Exception):
     """What we were told can't be used; the text says where and why in one line."""
@@ -51,13 +49,6 @@
 _decoder = msgspec.json.Decoder(_File)
 
 
-def address(text: str, what: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise TermsFault(f"{what} is {text!r}, not an address and a port")
-    return host, int(port)
-
-
 def _seed(seed: str | int) -> int:
     try:
         return int(seed, 16) if isinstance(seed, str) else seed
@@ -98,13 +89,12 @@
     try:
         for instance in told.known.instances:
             instance.address()
+        listen = address(variables.get("ROUTER_LISTEN") or told.listen, "listen")
+        discovery = address(variables.get("ROUTER_DISCOVERY") or told.discovery, "discovery")
     except ServersFault as error:
-        raise TermsFault(f"{path}: known: {error}") from None
-    return Terms(
-        name=variables.get("ROUTER_NAME") or told.name,
-        listen=address(variables.get("ROUTER_LISTEN") or told.listen, "listen"),
-        discovery=address(variables.get("ROUTER_DISCOVERY") or told.discovery, "discovery"),
-        limits=told.limits, known=told.known, trade=trade, zones=zones, proxies=proxies, turn=turn)
+        raise TermsFault(f"{path}: {error}") from None
+    return Terms(variables.get("ROUTER_NAME") or told.name, listen, discovery, told.limits, told.known, trade, zones,
+                 proxies, turn)
 
 
 def moved(terms: Terms, discovery: Address) -> Terms:
