--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -15,7 +15,7 @@
 
 from dunlinlug import interface as face
 from dunlinlug.listing import Fleet
-from dunlinlug.outstanding import Outstanding
+from dunlinlug.outstanding import Outstanding, free
 from dunlinlug.seating import Seating, Table, Tops
 from dunlinlug.state import Change, Wanted
 
@@ -23,7 +23,7 @@
 class Account(Outstanding):
     """The channel account: how many lines may still wait, by what was ordered and what answers show."""
 
-    SAMPLE, SLOWEST = 0.1, 0.1  # seconds of usual drain for a sample of the pace; its least part
+    SAMPLE, SLOWEST, LATER = 0.1, 0.1, 0.3  # seconds of drain for a sample; its least part; a message's delay
     KEPT_BACK, KEPT = (0.08, 0.12, 0.2, 0.4), (0.0, 0.4, 0.4, 0.5)  # parts: rules, health, levels, rest
 
     def __init__(self, channel: face.Channel) -> None:
@@ -35,7 +35,7 @@
 
     def scarce(self, proxy: int, now: float, rank: int) -> bool:
         times, few = self.written.get(proxy, ()), self.few[rank]
-        return 0 < few <= len(times) and times[-few] >= now - self.channel.messages_span
+        return 0 < few <= len(times) and times[-few] >= now - self.channel.messages_span - self.LATER
 
     def heard(self, proxy: int, mark: int, took: float) -> list[int]:
         """An answer: tells which marks it settles."""
@@ -239,16 +239,16 @@
     ONLY_COLD = 0.3  # share let in while a table has but workers that should be out
     BEAT, ASK_WAIT = 0.25, 0.5  # seconds between looks while busy; before the list is asked again, doubled
     HOT = 1.25  # times what is usually asked of a worker, from which on a small table gets one more: a raise
-    NUMBERS = 65000  # table and mark numbers in turn, below the wire's bound
 
     def __init__(self, trade: face.Trade) -> None:
         self.uniform = Random(trade.seed).uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
-        self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after
+        self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after or 1e-6  # divides
         cold, rise = trade.duties.cold_share, (1.0 - trade.duties.cold_share) * self.RAISE / self.warm_after
         self.bears = trade.duties.fall_multiple * min(  # times its share, at the weakest moment of its ramp
             min(1.0, cold + n * rise) / self.STEP / (n + 1) for n in range(round(1 / self.STEP)))
         self.may_probe, self.sliced, self.standing = trade.may_probe, trade.slices > 0, trade.standing
+        self.home = [k for k, product in enumerate(trade.products) if product.home_only]  # their zone's alone
         self.fleet, self.account = Fleet(), Account(trade.channel)
         self.health = Health(self.uniform, max(product.expiry for product in trade.products) + self.LATENESS)
         self.gate, self.admits = Gate(trade.products), trade.admits == "share"
@@ -393,6 +393,9 @@
             if ready and ready <= out:
                 out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
                 shares = [min(s, self.ONLY_COLD * self.all_in) if current else s for s in shares]
+            for near in self.fleet.by_zone(ready).values() if self.home else ():
+                warm = [i for i in near if now - fleet.since[i] >= self.warm_after]  # one will do
+                out -= {min(warm, key=lambda i: (health.part(i), i))} if warm and near <= out else set()
         self.barred, self.parts = {i: at for i, at in self.barred.items() if at > now}, parts
         return Wanted(wanted, parts, [(share, retry) for share in shares], out)
 
@@ -421,7 +424,7 @@
     # The difference, and the only place that orders.
 
     def _emit(self, now: float, wanted: Wanted) -> list[face.Order]:
-        self.last_mark = self._free(self.last_mark, self.account.sent)
+        self.last_mark = free(self.last_mark, self.account.sent)
         reply, wants, health = Reply(self.account, now, self.last_mark), wanted.shares, self.health
         for i in wanted.parts:
             if health.cap[i] != self.noted.get(i, 1.0):
@@ -438,7 +441,8 @@
         lines = (max(map(len, wants)) + 2.0) * len(self.seating.proxies)
         crowded = self.products * lines > self.TURN * self.account.rate
         # Departure: where one table to all takes longer than a ramp, small ones stay, and are kept up.
-        self.scant = crowded and len({*map(id, wants)}) == 1 and lines > self.warm_after * self.account.rate
+        longest = max(self.warm_after, self.RAISE) * self.account.rate
+        self.scant = crowded and len({*map(id, wants)}) == 1 and lines > longest
         if crowded:
             self._rescue(reply, wanted)
         self._withdraw(reply, wanted)
@@ -477,12 +481,15 @@
         mass = len(fresh) * len(self.seating.proxies) > 3 * self.TURN * self.account.rate
         usable = wanted.parts.keys() - wanted.out - self.barred.keys()
         whole = self.current[0] if len(set(self.current.values())) == 1 and not self.scant else None
-        bare, bears, least = [], dict[Table, float](), 0.0
+        bare, bears, least = list[Collection[int]](), dict[Table, float](), 0.0
+        near = self.fleet.by_zone(usable) if self.home else {}
         for tops, members in self.seating.groups.items():
             top = [table.shares.keys() for table in dict.fromkeys(tops) if table]
             if not top or usable and any(
                     usable.isdisjoint(t) or mass and len(t & fresh) > few for t in top):
                 bare.append(members)
+            elif near:
+                bare.append([p for p in members if self.seating.far(p, near, [tops[k] for k in self.home])])
         for p in self.seating.in_order(bare):
             joiner = not any(self.seating.proxies[p].tops)
             if whole and joiner and not reply.full(self.TURN, p) and self._bind(
@@ -492,21 +499,24 @@
             least = least or reply.head + min(map(self._cost, bears))
             if not reply.fits(least, 0):
                 break
-            table = min(bears, key=lambda table: (table.load + self.seating.proxies[p].rate) / bears[table])
-            self._bind(reply, p, tuple(range(self.products)), table, 0)
+            table = min(bears, key=lambda table: (self.seating.far(p, near, [table]), (
+                table.load + self.seating.proxies[p].rate) / bears[table]))
+            if not near or table is not self.seating.proxies[p].tops[0]:  # kept up in place, see _tend
+                self._bind(reply, p, tuple(range(self.products)), table, 0)
 
     def _dealt(self, reply: Reply, wanted: Wanted) -> dict[Table, float]:
         """By small table what its workers bear. The best workers are dealt anew, each manager shuffling for
         itself, once all small tables bear less than half of it, or one that nobody uses holds others."""
-        want = wanted.common()
-        best = [i for i, part in wanted.parts.items() if part == 1.0 and i not in wanted.out and i in want]
-        best = best or [i for i in want if i not in wanted.out] or list(want)
-        used = [table for table in self.small if table.users]
-        stale = any(not table.parts.keys() <= set(best) for table in self.small if not table.users)
+        want, used = wanted.common(), [table for table in self.small if table.users]
+        live = [i for i in want if i not in wanted.out]
+        best = [i for i in live if self.home or wanted.parts[i] == 1.0] or live or list(want)
+        zones = self.fleet.by_zone(best).values() if self.home else ()  # somebody of every zone is in each
+        stale = any(not table.parts.keys() <= set(best) for table in self.small if not table.users) or any(
+            all(near.isdisjoint(table.shares) for table in self.small) for near in zones)
         if stale or 2 * sum(map(wanted.bears, self.small)) < sum(want[i] for i in best) or not self.small:
             self.seating.retire(self.small, reply.now)
-            best.sort(key=lambda i: self.uniform(0.0, 1.0))
-            count = -(-len(best) // self.standing) or 1
+            best.sort(key=lambda i: (self.fleet.zones[i] if self.home else "", self.uniform(0.0, 1.0)))
+            count = min([-(-len(best) // self.standing) or 1, *map(len, zones)])
             dealt = ({i: want[i] for i in best[n::count]} for n in range(count))
             self.small = used + [self._lay(reply, wanted, part) for part in dealt]
         return {table: wanted.bears(table) for table in self.small}
@@ -524,7 +534,10 @@
         for table in sorted(tables, key=lambda table: -asks[table]):
             lines = {i: want[i] for i in table.shares if i in want}
             hot = self.HOT * usual < asks[table]
-            more = new.pop(0) if new else next((i for i in least if hot and i not in lines), None)
+            zones = self.fleet.by_zone(lines) if self.home else {}
+            far = next((i for i in least if zones and self.fleet.zones[i] not in zones), None)
+            more = far if far is not None else new.pop(0) if new else next(
+                (i for i in least if hot and i not in lines), None)
             if more is not None:
                 lines[more], asked[more] = want[more], asked[more] + asks[table]
             if lines != table.shares and not reply.full(self.TURN) and not self.seating.lagging(
@@ -534,11 +547,7 @@
     def _withdraw(self, reply: Reply, wanted: Wanted) -> None:
         """Withdrawals first, without stages, the rules' ahead. Danger: all else in a slow channel's way."""
         moved = wanted.out ^ self.out
-        users: dict[int, list[dict[int, None]]] = {i: [] for i in moved}
-        for tops, members in self.seating.groups.items() if moved else ():
-            named = chain(*(table.shares for table in set(tops) if table))
-            for i in moved if None in tops else moved.intersection(named):
-                users[i].append(members)
+        users = self.seating.naming(moved)
         for i in sorted(moved, key=lambda i: (i in wanted.parts, i)):
             ruled = i in wanted.out and (i not in wanted.parts or self.health.cap[i] > 0.0)
             rank, budget = (0, inf) if ruled else (1, 4 * self.TURN)
@@ -548,13 +557,9 @@
                 self.out ^= {i}
 
     def _level(self, reply: Reply, wanted: Wanted) -> None:
-        users: dict[tuple[int, Table], list[dict[int, None]]] = {}
-        for tops, members in self.seating.groups.items():
-            for k, table in enumerate(tops):
-                if table and table.levels[k] != wanted.levels[k] and reply.now >= self.kept.get(k, 0.0):
-                    users.setdefault((k, table), []).append(members)
-        for (k, table), groups in users.items():
-            if reply.spend([*chain.from_iterable(groups)], 1.0, 2, 4 * self.TURN):
+        for (k, table), groups in self.seating.by_top().items():
+            if table.levels[k] != wanted.levels[k] and reply.now >= self.kept.get(k, 0.0) and reply.spend(
+                    [*chain.from_iterable(groups)], 1.0, 2, 4 * self.TURN):
                 table.were[k], table.levels[k] = table.levels[k], wanted.levels[k]
                 reply.orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
 
@@ -622,11 +627,8 @@
                     if not reply.fits(cost, rank):
                         break
 
-    def _free(self, last: int, taken: Iterable[int]) -> int:
-        return next(n for n in ((last + k) % self.NUMBERS + 1 for k in range(self.NUMBERS)) if n not in taken)
-
     def _lay(self, reply: Reply, wanted: Wanted, shares: dict[int, float]) -> Table:
-        self.last_number = number = self._free(self.last_number, self.seating.tables)
+        self.last_number = number = free(self.last_number, self.seating.tables)
         parts = {i: wanted.parts.get(i, 1.0) for i in shares}
         table = Table(number, dict(shares), parts, list(wanted.levels))
         self.seating.tables[number] = table
@@ -647,12 +649,9 @@
         """One timer at the next time at which something is due of itself."""
         now, busy = reply.now, self.changes or self.account.sent or wanted.out ^ self.out
         due = [now + self.BEAT if busy or self.seating.ending() else inf, self.ask_at, *self.barred.values()]
-        for i in wanted.parts:
-            age = now - self.fleet.since[i]
-            if not self.health.cap[i]:
-                due.append(max(self.health.due[i], now + self.BEAT))
-            if age < self.warm_after:
-                due.append(now + self.RAISE - age % self.RAISE)
+        due += [max(self.health.due[i], now + self.BEAT) for i in wanted.parts if not self.health.cap[i]]
+        ages = (now - self.fleet.since[i] for i in wanted.parts)
+        due += [now + self.RAISE - age % self.RAISE for age in ages if age < self.warm_after]
         self.armed = {at for at in self.armed if at > now}
         if min(due) < min(self.armed, default=inf):
             self.last_token += 1
--- a/dunlinlug/listing.py
+++ b/dunlinlug/listing.py
@@ -1,5 +1,6 @@
 """The list as known. Bookkeeping alone: nothing here is decided."""
 
+from collections.abc import Iterable
 from math import inf
 
 from dunlinlug import interface as face
@@ -37,3 +38,10 @@
             self.zones[i], self.weight[i], self.ready[i] = entry.zone, entry.weight, entry.state == "ready"
             self.since[i] = max(since, self.since[i])
         return fresh
+
+    def by_zone(self, workers: Iterable[int]) -> dict[str, set[int]]:
+        """These workers parted by zone."""
+        parted: dict[str, set[int]] = {}
+        for i in workers:
+            parted.setdefault(self.zones[i], set()).add(i)
+        return parted
--- a/dunlinlug/platform/main.py
+++ b/dunlinlug/platform/main.py
@@ -70,7 +70,8 @@
                  make: Callable[[face.Trade], Decider] = Balancer) -> None:
         self.told, self.environment = told, environment
         products = tuple(product.name for product in told.trade.products)
-        self.orders = Orders(products, told.trade.usual_retry, told.trade.channel.message_lines)
+        self.orders = Orders(products, told.trade.usual_retry, told.trade.channel.message_lines,
+                             tuple(product.home_only for product in told.trade.products))
         self.peers = peers.Peers(told.zones, told.proxies, products, lambda worker: worker in self.orders.known,
                                  self._tell)
         # Danger: strangers must leave a descriptor for every proxy and every collector.
--- a/dunlinlug/platform/orders.py
+++ b/dunlinlug/platform/orders.py
@@ -5,7 +5,7 @@
 No socket, no clock, no decision.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from dunlinlug import interface as face
@@ -60,6 +60,7 @@
 @dataclass(eq=False)
 class Seat(Bound):
     held: Held = field(default_factory=lambda: Held((), ()))
+    zone: str = ""
 
 
 def _lines(have: View | None, want: View, level_lines: int) -> tuple[bool, tuple[tuple[str, float], ...]]:
@@ -132,16 +133,20 @@
 
 
 class Orders(Laying[Seat]):
-    """Tables as laid and streams as written. `usual_retry` is the way of trying again where a table says none."""
+    """Tables as laid and streams as written. `usual_retry` is the way of trying again where a table says none; `home`
+    tells by product whether it may go only to workers in the proxy's zone, so that of a table those lines alone go."""
 
-    def __init__(self, products: tuple[str, ...], usual_retry: int, message_lines: float) -> None:
+    def __init__(self, products: tuple[str, ...], usual_retry: int, message_lines: float,
+                 home: tuple[bool, ...] = ()) -> None:
         super().__init__(len(products))
+        self.home = home if any(home) else ()
         self.products, self.message_lines = products, message_lines
         self.usual: Level = (1.0, usual_retry)
         self.listed: dict[str, None] = {}  # who is listed, in the order in which they came
         self.brought: dict[int, frozenset[str]] = {}  # by proxy, who we had shut out when its stream ended
         self.suspects: frozenset[str] = NOBODY
-        self.views: dict[int, View] = {}
+        self.views: dict[tuple[int, str], View] = {}  # by table and the zone that it is narrowed to, or none
+        self.zones: dict[str, str] = {}  # of workers known
         self.news: set[str] = set()
         self.former: dict[str, None] = {}  # who has gone, the last at the end
         self.known: frozenset[str] = NOBODY  # both
@@ -155,12 +160,17 @@
                     self.leave(proxy)
                     left = self.brought.get(proxy, NOBODY)
                     unsure = left if first else self.known | left
-                    self.seats[proxy] = Seat(held=Held((None,) * self.kinds, (None,) * self.kinds, NOBODY, unsure))
+                    held = Held((None,) * self.kinds, (None,) * self.kinds, NOBODY, unsure)
+                    self.seats[proxy] = Seat(held=held, zone=event.zone)
                 case face.Left(proxy):
                     self.leave(proxy)
 
-    def _listed(self, form: str, workers: Iterable[face.Worker]) -> None:
+    def _listed(self, form: str, workers: Sequence[face.Worker]) -> None:
         present = {worker.id: None for worker in workers if worker.state != "gone"}
+        for told in workers:
+            if self.zones.get(told.id, told.zone) != told.zone:
+                self.views.clear()
+            self.zones[told.id] = told.zone
         gone = {worker.id for worker in workers if worker.state == "gone"}
         if form in ("whole", "kept"):
             gone |= self.listed.keys() - present.keys()
@@ -183,6 +193,7 @@
             del self.former[worker]
         self.known = frozenset(self.listed) | frozenset(self.former)
         if over:
+            self.zones = {worker: zone for worker, zone in self.zones.items() if worker in self.known}
             self.suspects &= self.known
             self.brought = {proxy: shut & self.known for proxy, shut in self.brought.items()}
             for seat in self.seats.values():
@@ -195,20 +206,25 @@
         super().leave(proxy)
 
     def amended(self, order: face.Share | face.Clear | face.Admit, laid: Laid) -> None:
-        self.views.pop(order.tbl, None)
+        for zone in ("", *dict.fromkeys(self.zones.values())) if self.home else ("",):
+            self.views.pop((order.tbl, zone), None)
 
     def withdrawn(self, worker: str) -> None:
         self.news.add(worker)
         self.suspects |= {worker}
 
-    def _view(self, tbl: int) -> View:
-        if tbl not in self.views:
-            self.views[tbl] = View(dict(self.tables[tbl].lines))
-        return self.views[tbl]
+    def _view(self, tbl: int, zone: str) -> View:
+        if (tbl, zone) not in self.views:
+            lines = self.tables[tbl].lines.items()
+            self.views[tbl, zone] = View({worker: weight for worker, weight in lines
+                                          if not zone or self.zones.get(worker) == zone})
+        return self.views[tbl, zone]
 
-    def _wanted(self, bound: tuple[int | None, ...], out: frozenset[str], news: frozenset[str]) -> Wanted:
+    def _wanted(self, bound: tuple[int | None, ...], zone: str, out: frozenset[str], news: frozenset[str]) -> Wanted:
         levels = [self.tables[tbl].levels.get(k) if tbl is not None else None for k, tbl in enumerate(bound)]
-        return Wanted(tuple(None if tbl is None else self._view(tbl) for tbl in bound),
+        views = (None if tbl is None else self._view(tbl, zone if self.home and self.home[k] else "")
+                 for k, tbl in enumerate(bound))
+        return Wanted(tuple(views),
                       tuple(self.usual if level is None else (level[1], level[0]) for level in levels),
                       out, news, self.suspects)
 
@@ -217,17 +233,18 @@
         self.news = set()
         mark = self.carry_out(orders, concerned)
         out, news = frozenset(self.out), frozenset(self.news)
-        wanted: dict[tuple[int | None, ...], Wanted] = {}
-        made: dict[tuple[Held, tuple[int | None, ...], float], tuple[bytes, Held, int]] = {}
+        wanted: dict[tuple[tuple[int | None, ...], str], Wanted] = {}
+        made: dict[tuple[Held, tuple[int | None, ...], str, float], tuple[bytes, Held, int]] = {}
         parcels = {}
         for proxy, reckoned in self.touched.items():
             seat = self.seats[proxy]
             bound = tuple(seat.bound.get(k) for k in range(self.kinds))
-            key = (seat.held, bound, reckoned)
+            zone = seat.zone if self.home else ""
+            key = (seat.held, bound, zone, reckoned)
             if key not in made:
-                if bound not in wanted:
-                    wanted[bound] = self._wanted(bound, out, news)
-                parts, held, lines = difference(seat.held, wanted[bound], self.products, self.usual, reckoned)
+                if (bound, zone) not in wanted:
+                    wanted[bound, zone] = self._wanted(bound, zone, out, news)
+                parts, held, lines = difference(seat.held, wanted[bound, zone], self.products, self.usual, reckoned)
                 made[key] = (self._written(parts, mark), held, lines)
             data, seat.held, lines = made[key]
             if data:
--- a/dunlinlug/seating.py
+++ b/dunlinlug/seating.py
@@ -4,7 +4,7 @@
 proxies that it concerns, not with all proxies x workers. A slow plain model of it stands in `tests/test_seating.py`.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import chain
 from math import inf
@@ -148,6 +148,29 @@
     def bound(self, table: Table) -> list[int]:
         return [*chain.from_iterable(members for tops, members in self.groups.items() if table in tops)]
 
+    def naming(self, workers: set[int]) -> dict[int, list[dict[int, None]]]:
+        """By worker the groups with a line for it, or that may have one as they have no table yet."""
+        users: dict[int, list[dict[int, None]]] = {i: [] for i in workers}
+        for tops, members in self.groups.items() if workers else ():
+            named = chain(*(table.shares for table in set(tops) if table))
+            for i in workers if None in tops else workers.intersection(named):
+                users[i].append(members)
+        return users
+
+    def by_top(self) -> dict[tuple[int, Table], list[dict[int, None]]]:
+        """By product and table the groups that are bound to it."""
+        users: dict[tuple[int, Table], list[dict[int, None]]] = {}
+        for tops, members in self.groups.items():
+            for k, table in enumerate(tops):
+                if table is not None:
+                    users.setdefault((k, table), []).append(members)
+        return users
+
+    def far(self, p: int, near: Mapping[str, set[int]], tables: Iterable[Table | None]) -> bool:
+        """Whether a table among these has nobody of the proxy's zone, though by `near` (by zone) there is somebody."""
+        own = near.get(self.proxies[p].zone, set())
+        return bool(own) and any(table is not None and own.isdisjoint(table.shares) for table in tables)
+
     def in_order(self, groups: Iterable[Iterable[int]]) -> list[int]:
         """Their members in the order of joining."""
         return sorted(chain.from_iterable(groups), key=lambda p: self.proxies[p].joined)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -186,3 +186,21 @@
         orders.obey([face.Withdraw(fresh.id, False)], 0.0)
     assert len(orders.known) <= FORMER + 4
     assert len(orders.seats[3].held.shut) <= FORMER + 4 and len(orders.suspects) <= FORMER + 4
+
+
+def test_a_product_for_its_own_zone_gets_the_lines_of_that_zone_alone() -> None:
+    orders = Orders(NAMES, 1, 4.0, (False, True))
+    orders.hear([face.Listed("whole", tuple(worker(n) for n in range(6)))])
+    orders.hear([face.Joined(1, "north", 5.0, True), face.Joined(2, "south", 5.0, True)])
+    shares = [face.Share(7, worker(n).id, 1.0) for n in range(6)]
+    parcels = orders.obey([*shares, face.Bind(1, (0, 1), 7), face.Bind(2, (0, 1), 7), face.Mark(3, False)], 1.0)
+    proxies = {1: PlainProxy(), 2: PlainProxy()}
+    for p, plain in proxies.items():
+        assert plain.read(parcels[p].data)[0] <= parcels[p].lines
+        assert len(plain.held["read"]) == 6
+        assert plain.held["book"].keys() == {worker(n).id for n in (p - 1, p + 2)}
+    parcels = orders.obey([face.Share(7, worker(0).id, 0.5), face.Share(7, worker(1).id, 0.0)], 2.0)
+    for p, plain in proxies.items():
+        plain.read(parcels[p].data)
+    assert proxies[1].held["book"] == {worker(0).id: 0.5, worker(3).id: 1.0}
+    assert proxies[2].held["book"] == {worker(4).id: 1.0} and len(proxies[2].held["read"]) == 5
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,10 +1,12 @@
 """The module beside the plain model of the rules, on generated runs, and beside a broken module."""
 
+from dataclasses import replace
+
 import pytest
 
 from dunlinlug import interface as face
 from dunlinlug.balance import Account, Balancer, Reply, Wanted
-from tests.helpers import Model, run, trade, worker
+from tests.helpers import ZONES, Model, run, trade, worker
 
 
 @pytest.mark.parametrize("seed", range(25))
@@ -13,6 +15,52 @@
     assert not run(Model(trade(**narrow)), seed).broken
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_ten_messages_in_ten_seconds_are_kept_to_by_proxies_that_break_off_and_come_back(seed: int) -> None:
+    model = run(Model(trade(channel=face.Channel(1200.0, 4.0, 2400.0, 0.2, 0.5, 10, 10.0))), seed)
+    assert "messages" not in model.broken
+
+
+def test_workers_that_are_never_cold_have_no_ramp() -> None:
+    model = Model(trade(duties=face.Duties(5.0, 3.0, 10.0, 0.0, 1.0, 3.0, 2.0)))
+    assert not run(model, 2).broken
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_product_for_its_own_zone_leaves_nobody_without_a_worker(seed: int) -> None:
+    products = (trade().products[0], replace(trade().products[1], home_only=True))
+    narrow = {"channel": face.Channel(300.0, 4.0, 900.0, 0.2, 0.5, 30, 10.0)} if seed % 2 else {}
+    assert not run(Model(trade(products=products, standing=3, **narrow)), seed).broken
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_small_tables_have_somebody_of_each_zone_for_a_product_that_keeps_to_it(seed: int) -> None:
+    products = (trade().products[0], replace(trade().products[1], home_only=True))
+    model = Model(trade(products=products, standing=3, seed=seed))
+    model.step(0.1, [face.Listed("kept", tuple(worker(n) for n in range(60)))])
+    model.step(0.1, [face.Joined(p, ZONES[p % 3], 5.0, True) for p in range(90)])
+
+    def near() -> list[int]:
+        return [p for p in model.joined if model.holds[p][1][1].keys() - model.shut[p]]
+
+    for lost in (range(0), range(0, 54, 3), range(1, 54, 3)):  # the rest of a zone is left with two
+        model.step(0.1, [face.Listed("changes", tuple(worker(n, "gone") for n in lost))])
+        for _ in range(20):
+            model.step(0.1, [])
+        assert len(near()) == 90 and not model.broken
+
+
+def test_a_zone_whose_workers_are_all_out_gets_a_warm_one_back_for_its_own_products() -> None:
+    products = (trade().products[0], replace(trade().products[1], home_only=True))
+    model = Model(trade(products=products))
+    model.step(0.1, [face.Listed("kept", tuple(worker(n) for n in range(9)))])
+    model.step(0.1, [face.Joined(p, ZONES[p % 3], 5.0, True) for p in range(6)])
+    for _ in range(20):
+        model.step(0.5, [face.Met(ZONES[n % 3], worker(n).id, 20, 20 if n % 3 == 1 else 0, 0.2, 0.5)
+                         for n in range(9)])
+    assert len(model.withdrawn) == 2 and not model.broken
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_generated_runs_with_pins_keep_the_rules(seed: int) -> None:
     narrow = {"channel": face.Channel(300.0, 4.0, 900.0, 0.2, 0.5, 30, 10.0)} if seed % 2 else {}
