--- a/dunlinlug/manager/probes.py
+++ b/dunlinlug/manager/probes.py
@@ -2,12 +2,15 @@
 
 import json
 from collections.abc import Callable
+from math import inf
 
 import trio
 
 from dunlinlug import interface as face
 from dunlinlug.net import http
 
+REPORT_MOST = 2**16  # bytes of an answer: a report has some hundred. Danger: one without end, times those at once
+
 
 def by_id(worker: str) -> tuple[str, int]:
     """Where a worker listens whose id is its address."""
@@ -40,7 +43,7 @@
 
     async def _ask(self, worker: str) -> tuple[str, dict[str, float]]:
         try:
-            client = http.Client(*self.where(worker), idle_most=0)
+            client = http.Client(*self.where(worker), idle_most=0, largest=REPORT_MOST)
         except KeyError:
             return "connect_failed", {}
         try:
@@ -52,6 +55,7 @@
         if reply.status != 200:
             return "error", {}
         try:
-            return "ok", self.read(reply.body)
+            load = self.read(reply.body)
         except (ValueError, AttributeError, TypeError):
             return "ok", {}
+        return "ok", load if all(0.0 <= value < inf for value in load.values()) else {}
