Old streams, moved places, floods and stops: what crosses in one turn of the loop

Each was seen in a test on real sockets that puts both events into one turn, and that fails with the mend taken out (tried): (1) the old stream of a proxy, readable in the turn in which the new one joins, was read after `end`: its usage came behind the new Joined; who was turned away or ended for room could still join. At fault: Link.end cancels at the next checkpoint only; Peers.take asked nobody. A peer is `over` from then on. (2) Discovery.move kept the version of the old place: a watch from it at the new one misses what differs where both count alike. And an answer read in the turn of the move was taken for the new place's. The whole list is asked for; such an answer is left. (3) follow had no pause where a watch is answered at once with nothing, the same list, or a version that goes back: some 5,000 questions a second. Now 0.05 s from question to question where the version does not move on. (4) a port of "²" passed isdigit and ended the manager by ValueError out of int(). (5) behind 300 silent strangers with eight places a proxy waited 9 s: 0.25 s for each stranger. Who has said nothing gives way after 0.05 s, a hello that lies in the socket is read first. (6) a turn of the loop that was due as we were told to stop still decided; orders begun were cut in the middle, and sockets closed over unread bytes reset what was on its way. The loop is stopped first; the front takes nobody, writes what was begun for 0.2 s at most, and lets the peer close.

Cleared: bytes written while a flush waits keep their order; a line a byte at a time; a reset before the first reading; an end right behind a line.

--- a/dunlinlug/manager/loop.py
+++ b/dunlinlug/manager/loop.py
@@ -87,11 +87,17 @@
         self.batches = 0
         self.shift = 0.0
         self.leading: Leading | None = None
+        self.stopped = False
 
     def tell(self, event: face.Event) -> None:
         self.inbox.append(event)
         self.come.set()
 
+    def stop(self) -> None:
+        """Nothing is decided any more. Danger: a turn that is due as we are told to stop still runs before the loop is
+        cancelled, and would order what nobody stays to see through."""
+        self.stopped = True
+
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pace)
@@ -102,12 +108,14 @@
                 await trio.sleep(self.least)  # whatever else is ready runs before the next turn
 
     def _next_at(self) -> float:
-        leads = self.leading is None or self.leading.leads(trio.current_time())
+        leads = not self.stopped and (self.leading is None or self.leading.leads(trio.current_time()))
         return self.timers[0][0] - self.shift if self.timers and leads else float("inf")
 
     def turn(self, now: float) -> None:
         """One batch: due timers and all that came, to the module; its orders to whoever they are for."""
         events, self.inbox, self.come = self.inbox, [], trio.Event()
+        if self.stopped:
+            return
         if self.leading is not None and not self.leading.leads(now):
             # Danger: thawed after our lease: what came meanwhile is for another to decide. And lost while the answers
             # to a new master's first beats are on their way: its own standing, and who had joined the former one.
--- a/dunlinlug/platform/discovery.py
+++ b/dunlinlug/platform/discovery.py
@@ -25,6 +25,7 @@
     def move(self, place: servers.Address) -> None:
         """Ask there from now on; what is under way at the old place is given up."""
         self.client = http.Client(*place, idle_most=1)
+        self.state.moved()
         self.scope.cancel()
 
     def news(self, listed: face.Listed) -> None:
@@ -48,7 +49,9 @@
             client = self.client
             with trio.CancelScope() as self.scope:
                 try:
+                    asked = trio.current_time()
                     await self._look(client)
+                    await trio.sleep_until(asked + self.state.pause)
                 except servers.ServersFault as fault:
                     if not self.failing:
                         self.note("discovery.failed", why=str(fault))
@@ -65,6 +68,8 @@
                 reply = await client.ask("GET", self.state.query())
             except http.HttpFault as fault:
                 raise servers.ServersFault(str(fault)) from None
+        if client is not self.client:
+            return  # Danger: come in the turn of a move, it would stand for the new place's
         if reply is None or reply.status != 200:
             raise servers.ServersFault("no answer in time" if reply is None else f"status {reply.status}")
         answer = servers.read(reply.body)
--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -8,6 +8,7 @@
 import socket
 import traceback
 from collections.abc import Callable
+from contextlib import suppress
 
 import trio
 
@@ -18,9 +19,11 @@
 READ = 2**16  # bytes read at once
 UNSENT_MOST = 2**20  # bytes that may wait for a peer: minutes of orders; beyond it the peer does not read at all
 JOIN_WITHIN = 1.0  # seconds: the protocol allows to close what has not joined by then
-HASTE = 0.25  # seconds that a stranger has at least where there are too many
+HASTE = 0.25  # seconds that a stranger has at least where there are too many and it has begun to speak
+SILENT = 0.05  # seconds where it has said nothing: a joining follows its connect at once, and has come while it queued
+FINISH = 0.2  # seconds from a stop for what was begun to go out whole; a planned restart is killed after 0.7
 FULL_PAUSE = 0.02  # seconds to pause where descriptors have run out: strangers leave within a second
-BACKLOG = 1024  # connections that may wait to be accepted: every proxy at once, and as many strangers
+BACKLOG = 4096  # connections that may wait to be accepted: every proxy of a large fleet at once, and many strangers
 GOODBYE = 0.2  # seconds for a peer that was told an error to read it, before its connection is closed
 
 
@@ -31,7 +34,7 @@
         self.sock, self.since = sock, now
         self.peer = Peer(self.end)
         self.unsent = bytearray()
-        self.more = trio.Event()
+        self.more, self.emptied = trio.Event(), trio.Event()
         self.scope = trio.CancelScope()
         self.why = ""
 
@@ -61,11 +64,35 @@
                 except BlockingIOError:
                     continue
                 except OSError:
+                    self.nothing_waits()
                     return
             self.more = trio.Event()
+            self.nothing_waits()
+
+    def nothing_waits(self) -> None:
+        """All is written, or nothing more will be."""
+        self.unsent.clear()
+        self.emptied.set()
+        self.emptied = trio.Event()
+
+    async def finish(self) -> None:
+        """What was begun goes out, then our end of it. Danger: closed with bytes unread, a connection is reset, and
+        what was written and not yet taken is lost with it; so the peer closes first, if it does."""
+        while self.unsent:
+            await self.emptied.wait()
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def waiting(self) -> bool:
+        """Whether something has come that is not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def end(self, why: str) -> None:
         self.why = self.why or why
+        self.peer.over = True
         self.scope.cancel()
 
 
@@ -77,6 +104,8 @@
         self.strangers: dict[Link, None] = {}  # the longest there first
         self.links: dict[Peer, Link] = {}
         self.room = trio.Event()
+        self.left = trio.Event()  # set at each connection's end, then replaced
+        self.accepting = trio.CancelScope()
         self.accepted = 0
 
     def deliver(self, proxy: int, parcel: Parcel) -> None:
@@ -88,36 +117,63 @@
         self.links[peer].write(parcel.data)
 
     async def serve(self, listener: socket.socket) -> None:
-        """Accept until cancelled."""
+        """Accept until `finish` or cancelled, and serve until cancelled; closes the listener."""
         async with trio.open_nursery() as nursery:
-            while True:
-                await trio.lowlevel.wait_readable(listener)
-                await self._make_room()
-                try:
-                    sock, _ = listener.accept()
-                    sock.setblocking(False)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # may already have been reset
-                except BlockingIOError:
-                    continue
-                except OSError as error:
-                    # Danger: with no descriptor left the listener stays readable, and this would spin.
-                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                        self.peers.counts["no descriptor"] += 1
-                        await trio.sleep(FULL_PAUSE)
-                    continue
-                self.accepted += 1
-                link = Link(sock, trio.current_time())
-                self.links[link.peer] = link
-                self.strangers[link] = None
-                nursery.start_soon(self._attend, link)
+            try:
+                with self.accepting:
+                    while True:
+                        await trio.lowlevel.wait_readable(listener)
+                        await self._make_room()
+                        await self._accept(listener, nursery)
+            finally:
+                listener.close()
+
+    async def finish(self) -> None:
+        """Nobody is taken any more; what was begun on streams goes out whole, as far as it is taken in FINISH."""
+        self.accepting.cancel()
+        streams = {self.links[peer]: None for peer in self.peers.streams.values()}
+        for link in list(self.links.values()):
+            if link not in streams:
+                link.end("we stop")
+        with trio.move_on_after(FINISH):
+            async with trio.open_nursery() as nursery:
+                for link in streams:
+                    nursery.start_soon(link.finish)
+            while any(link.peer in self.links for link in streams):
+                await self.left.wait()
+
+    async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            # Danger: with no descriptor left the listener stays readable, and this would spin.
+            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                self.peers.counts["no descriptor"] += 1
+                await trio.sleep(FULL_PAUSE)
+            return
+        sock.setblocking(False)
+        with suppress(OSError):  # it may already have been reset, which its first reading tells
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.accepted += 1
+        link = Link(sock, trio.current_time())
+        self.links[link.peer] = link
+        self.strangers[link] = None
+        nursery.start_soon(self._attend, link)
 
     async def _make_room(self) -> None:
-        """Danger: strangers by the hundred would leave no descriptor for proxies: the oldest of them gives way."""
+        """Danger: strangers by the hundred would leave no descriptor for proxies: the oldest of them gives way, those
+        that said nothing first, so that a proxy that waits behind them is soon taken."""
         while len(self.strangers) >= self.strangers_most:
-            oldest = next(iter(self.strangers))
+            silent = (link for link in self.strangers if not link.peer.lines.rest)
+            oldest = next(silent, next(iter(self.strangers)))
             self.room = trio.Event()
-            with trio.move_on_at(oldest.since + HASTE):
+            with trio.move_on_at(oldest.since + (HASTE if oldest.peer.lines.rest else SILENT)):
                 await self.room.wait()
+            if oldest.waiting():  # Danger: without a core for a while, its joining may have come long ago
+                await trio.lowlevel.checkpoint()
+                await trio.lowlevel.checkpoint()
             if len(self.strangers) >= self.strangers_most and oldest in self.strangers:
                 oldest.end("there are too many that have not joined")
                 with trio.move_on_after(FULL_PAUSE):
@@ -145,6 +201,9 @@
             self._known(link)
             del self.links[link.peer]
             link.sock.close()
+            link.nothing_waits()
+            self.left.set()
+            self.left = trio.Event()
             self.peers.counts[f"ended: {link.why or 'by the peer'}"] += 1
 
     async def _meet(self, link: Link) -> bool:
--- a/dunlinlug/platform/peers.py
+++ b/dunlinlug/platform/peers.py
@@ -20,9 +20,11 @@
 
 @dataclass(eq=False)
 class Peer:
-    """One connection. `end` closes it; it is called for a peer that another takes the place of."""
+    """One connection. `end` closes it; it is called for a peer that another takes the place of. Once `over`, nothing
+    that it says counts any more."""
 
     end: Callable[[str], None]
+    over: bool = False
     lines: messages.Lines = field(default_factory=messages.Lines)
     zone: str = ""  # of a collector or a proxy
     proxy: int | None = None
@@ -52,15 +54,24 @@
 
     def take(self, peer: Peer, data: bytes, now: float) -> bytes:
         """What came from a peer; gives what to answer. Raises Turned."""
+        # Danger: a connection that is ended may be readable in that very turn. What the old stream of a proxy says then
+        # would be believed of its new one, and who was turned away could join.
+        if peer.over:
+            return b""
         answer = b""
         try:
             for line in peer.lines.take(data):
                 answer += self._line(peer, line, now)
             peer.lines.check()
         except Unreadable as fault:
+            peer.over = True
             raise Turned(str(fault)) from None
         return answer
 
+    def _replaced(self, peer: Peer, why: str) -> None:
+        peer.over = True
+        peer.end(why)
+
     def _line(self, peer: Peer, line: bytes, now: float) -> bytes:
         if len(line) > peer.lines.most:
             raise Unreadable(f"a message is longer than {peer.lines.most} bytes")
@@ -74,6 +85,7 @@
                 self._joins(peer, message)
         except Unfit as fault:
             if not peer.joined:
+                peer.over = True
                 raise Turned(str(fault)) from None
             self._spoil(str(fault), line)
         return b""
@@ -101,7 +113,7 @@
             self.streams[message.id] = peer
             if former is not None:
                 self.tell(face.Left(message.id))
-                former.end("its proxy has a new stream")
+                self._replaced(former, "its proxy has a new stream")
             peer.proxy, peer.zone = message.id, message.site
             self.tell(face.Joined(message.id, message.site, message.rps, message.new))
         else:
@@ -115,7 +127,7 @@
         if len(others) >= COLLECTORS_MOST:
             idle = min(others, key=lambda other: other.reported_at)
             others.remove(idle)
-            idle.end("others of its zone bring reports")
+            self._replaced(idle, "others of its zone bring reports")
         others.append(peer)
 
     def left(self, peer: Peer) -> None:
--- a/dunlinlug/platform/servers.py
+++ b/dunlinlug/platform/servers.py
@@ -17,6 +17,7 @@
 # with 2 s a silent connection is left, and the list asked for anew, well before either.
 WAIT = 2.0
 WITHIN = 0.5  # seconds beyond the wait for an answer: the agent is on our own machine
+LEAST = 0.05  # seconds from one query to the next where the version did not move on; a quarter of what ends a watch
 FIRST, MOST = 0.05, 0.5  # seconds to pause after a failure, doubled up to the most: the agent answers without cost
 PATH = "/v1/servers"
 
@@ -31,7 +32,8 @@
 def address(text: str, what: str) -> Address:
     """Raises ServersFault, which says that `what` is not an address and a port."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    # Danger: other scripts' digits and superscripts are digits too, and not all of them make a number.
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise ServersFault(f"{what} is {text!r}, not an address and a port")
     return host, int(port)
 
@@ -83,6 +85,12 @@
         self.uniform = uniform
         self.generation: int | None = None
         self.failures = 0
+        self.pause = 0.0  # seconds that the next query follows the last one by, at least
+
+    def moved(self) -> None:
+        """Another place is asked from now on. Danger: its versions need not be those of the old one, so that a watch
+        from the one held could miss what is not in our list."""
+        self.generation = None
 
     def query(self) -> str:
         if self.generation is None:
@@ -98,6 +106,8 @@
 
         Raises ServersFault for changes to a list that is not held."""
         before, self.failures = self.generation, 0
+        # Danger: answered at once and again and again with what is known, we would do nothing else but ask.
+        self.pause = 0.0 if before is None or answer.generation > before else LEAST
         if answer.reset:
             self.generation = answer.generation
             return face.Listed("whole", tuple(i.worker() for i in answer.instances if i.lifecycle != "gone"))
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,437 @@
+"""Two events that cross at the manager's address or on its way to discovery, on real sockets, in this process: what
+both ends do is put into one turn of the loop."""
+
+import os
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from dunlinlug import interface as face
+from dunlinlug.manager.loop import Loop
+from dunlinlug.platform import messages, servers
+from dunlinlug.platform.discovery import Discovery
+from dunlinlug.platform.front import FINISH, SILENT, Front, Link, listen
+from dunlinlug.platform.main import Unpaced
+from dunlinlug.platform.orders import Parcel
+from dunlinlug.platform.peers import Peers, Turned
+
+HELLO = b'{"@type":"hello","id":17,"site":"a","rps":2.0,"new":true}\n'
+DEMAND = b'{"@type":"demand","id":17,"lane":"read","count":7,"fail":0,"over":1000.0}\n'
+
+
+class Stage:
+    """A front at work, what it told, and raw clients of it that block nothing."""
+
+    def __init__(self, strangers_most: int = 64) -> None:
+        self.told, self.notes = list[face.Event](), list[Any]()
+        self.peers = Peers(("a", "b"), 400, ("read", "book"), lambda worker: True, self.told.append)
+        self.front = Front(self.peers, strangers_most, lambda event, **said: self.notes.append((event, said)))
+        self.clients: list[socket.socket] = []
+
+    @asynccontextmanager
+    async def open(self) -> AsyncIterator[None]:
+        listener = listen("127.0.0.1", 0)
+        self.place = listener.getsockname()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.front.serve, listener)
+                yield
+                nursery.cancel_scope.cancel()
+        finally:
+            for client in self.clients:
+                client.close()
+        assert not self.notes, "no connection met a mistake of ours"
+
+    def dial(self, receives: int = 0) -> socket.socket:
+        """Connected by the kernel alone: the front has not had a turn yet."""
+        made = socket.socket()
+        if receives:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receives)
+        made.connect(self.place)
+        self.clients.append(made)
+        return made
+
+    async def until(self, count: int, kind: type = face.Joined) -> None:
+        with trio.fail_after(8):
+            while sum(isinstance(event, kind) for event in self.told) < count:
+                await trio.sleep(0.001)
+
+    async def joined(self, hello: bytes = HELLO) -> socket.socket:
+        made, before = self.dial(), sum(isinstance(event, face.Joined) for event in self.told)
+        made.sendall(hello)
+        await self.until(before + 1)
+        return made
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def busy(seconds: float) -> None:
+    """No turn of the loop for so long."""
+    until = time.perf_counter() + seconds
+    while time.perf_counter() < until:
+        pass
+
+
+# The address.
+
+
+async def test_what_an_old_stream_says_in_the_turn_of_the_new_one_is_nothing() -> None:
+    stage = Stage()
+    async with stage.open():
+        old = await stage.joined()
+        for n in range(2, 42):  # which of the two is read first is chance
+            new = stage.dial()
+            await trio.testing.wait_all_tasks_blocked()  # taken, and nothing said yet
+            new.sendall(HELLO)
+            old.sendall(DEMAND)
+            await stage.until(n)
+            old.close()
+            await trio.testing.wait_all_tasks_blocked()
+            old = new
+        # Read ahead of the new hello it counts, and then the old stream's Left comes next; behind it, it is nothing.
+        spoke = [n for n, event in enumerate(stage.told) if isinstance(event, face.Asked)]
+        assert all(isinstance(stage.told[n + 1], face.Left) for n in spoke)
+
+
+def test_who_was_turned_away_or_ended_joins_no_more() -> None:
+    stage = Stage()
+    left, right = socket.socketpair()
+    link = Link(left, 0.0)
+    with pytest.raises(Turned):
+        stage.peers.take(link.peer, b"garbage\n", 0.0)
+    assert stage.peers.take(link.peer, HELLO, 0.0) == b"" and not stage.told
+    ended = Link(right, 0.0)
+    ended.end("there are too many that have not joined")
+    assert stage.peers.take(ended.peer, HELLO + DEMAND, 0.0) == b"" and not stage.told and not stage.peers.streams
+    left.close(), right.close()
+
+
+async def test_a_hello_in_the_socket_as_its_connection_is_to_give_way_is_heard() -> None:
+    for _ in range(12):
+        stage = Stage(strangers_most=1)
+        async with stage.open():
+            first = stage.dial()
+            await trio.testing.wait_all_tasks_blocked()
+            stage.dial()
+            await trio.testing.wait_all_tasks_blocked()  # the second waits for the first to give way
+            first.sendall(HELLO)
+            busy(2 * SILENT)  # so that its time is over in the turn in which it can be read
+            await stage.until(1)
+            await trio.testing.wait_all_tasks_blocked()
+            assert not any(isinstance(event, face.Left) for event in stage.told)
+
+
+@pytest.mark.parametrize("begun", [b"", b'{"@type":"hel'])
+async def test_a_proxy_behind_a_flood_of_strangers_is_soon_taken(begun: bytes) -> None:
+    stage = Stage(strangers_most=8)
+    async with stage.open():
+        for _ in range(60 if begun else 300):
+            stage.dial().sendall(begun)
+        began = trio.current_time()
+        await stage.joined()
+        assert trio.current_time() - began < 4.0  # by the oldest, whatever it said, it was 9 s behind 300
+
+
+async def test_a_reset_before_the_first_reading_and_an_end_right_behind_a_line_harm_nobody() -> None:
+    stage = Stage()
+    async with stage.open():
+        good = await stage.joined(HELLO.replace(b"17", b"3"))
+        for cut in range(0, len(HELLO) + 1, 7):
+            gone, ended = stage.dial(), stage.dial()
+            gone.sendall(HELLO.replace(b"17", b"18")[:cut])
+            reset(gone)
+            ended.sendall(HELLO + DEMAND[:cut])
+            ended.close()
+        await stage.until(len(range(0, len(HELLO) + 1, 7)), face.Left)
+        good.sendall(DEMAND.replace(b"17", b"3"))
+        await stage.until(1, face.Asked)
+        assert 3 in stage.peers.streams
+
+
+async def test_a_line_that_comes_a_byte_in_a_turn_is_one_line() -> None:
+    stage = Stage()
+    async with stage.open():
+        client = stage.dial()
+        for byte in HELLO + DEMAND:
+            client.sendall(bytes([byte]))
+            await trio.testing.wait_all_tasks_blocked()
+        await stage.until(1, face.Asked)
+        assert [type(event) for event in stage.told] == [face.Joined, face.Asked]
+
+
+def order(lines: int) -> bytes:
+    endpoints = [(f"worker-{n:06}.of-some-length", 1.0) for n in range(lines)]
+    return messages.write(messages.Push(full=True, endpoints=endpoints))
+
+
+async def read_to_the_end(client: socket.socket) -> bytes:
+    client.setblocking(False)
+    data = b""
+    while True:
+        await trio.lowlevel.wait_readable(client)
+        try:
+            part = client.recv(65536)
+        except ConnectionResetError:
+            return data
+        if not part:
+            return data
+        data += part
+
+
+async def test_an_order_begun_at_the_stop_goes_out_whole_where_its_peer_reads() -> None:
+    stage = Stage()
+    async with stage.open():
+        client = stage.dial(receives=4096)
+        client.sendall(HELLO)
+        await stage.until(1)
+        [link] = stage.front.links.values()
+        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        whole = order(4000) + order(100)
+        stage.front.deliver(17, Parcel(whole, 4000.0, None))
+        assert link.unsent, "the socket took a part"
+        client.sendall(DEMAND)  # unread by us: closed over it, the connection would be reset under what it still holds
+        got = b""
+
+        async def read() -> None:
+            nonlocal got
+            got = await read_to_the_end(client)
+            client.close()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            with trio.fail_after(5):
+                await stage.front.finish()
+                nursery.start_soon(stage.front.finish)  # a second stop finds nothing to do
+        assert got == whole
+
+
+async def test_the_stop_waits_for_no_peer_longer_than_its_bound_and_takes_nobody_new() -> None:
+    stage = Stage()
+    async with stage.open():
+        deaf = stage.dial(receives=4096)
+        deaf.sendall(HELLO)
+        silent = stage.dial()
+        await stage.until(1)
+        stage.front.deliver(17, Parcel(order(4000) * 20, 80000.0, None))
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stage.front.finish)
+            assert await read_to_the_end(silent) == b"", "who has not joined is closed at once"
+            assert trio.current_time() - began < FINISH
+            with pytest.raises(OSError):
+                stage.dial()
+        assert FINISH <= trio.current_time() - began < FINISH + 0.5
+
+
+async def test_writes_while_older_bytes_wait_keep_their_order() -> None:
+    stage = Stage()
+    async with stage.open():
+        client = stage.dial(receives=4096)
+        client.sendall(HELLO)
+        await stage.until(1)
+        parts = [order(2000 + n) for n in range(6)]
+        got = b""
+
+        async def read() -> None:
+            nonlocal got
+            client.setblocking(False)
+            while len(got) < sum(map(len, parts)):
+                await trio.lowlevel.wait_readable(client)
+                got += client.recv(3000)
+
+        with trio.fail_after(8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                for part in parts:
+                    stage.front.deliver(17, Parcel(part, 1.0, None))
+                    await trio.lowlevel.checkpoint()
+        assert got == b"".join(parts)
+
+
+# The loop.
+
+
+class Counting:
+    """A module that counts its calls and asks to be woken at once."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def decide(self, now: float, events: Iterable[face.Event]) -> list[face.Order]:
+        self.calls += 1
+        return [face.Wake(0.0, self.calls)]
+
+
+class Nothing:
+    def hear(self, events: Iterable[face.Event]) -> None:
+        """Nothing."""
+
+    def obey(self, orders: Iterable[face.Order], now: float, concerned: Iterable[int] = ()) -> dict[int, Any]:
+        return {}
+
+
+async def test_a_turn_that_is_due_as_we_are_told_to_stop_decides_nothing() -> None:
+    for timer in (False, True) * 5:
+        module = Counting()
+        loop = Loop(module, Nothing(), Unpaced(lambda proxy, parcel: None), lambda proxy, parcel: None,
+                    lambda event, **said: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(loop.run)
+            await trio.testing.wait_all_tasks_blocked()
+            if timer:
+                loop.timers.append((trio.current_time(), 1))
+            loop.tell(face.Left(1))
+            loop.stop()  # the loop is woken already, and has not run
+            await trio.testing.wait_all_tasks_blocked()
+            loop.tell(face.Left(2))
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        assert not module.calls
+
+
+# Discovery.
+
+
+def listed(generation: int, *names: str, reset: bool = True) -> bytes:
+    return messages._encoder.encode({"generation": generation, "reset": reset, "instances": [
+        {"instanceId": name, "hostPort": "127.0.0.1:9000", "zone": "a", "lifecycle": "ready"} for name in names]})
+
+
+class Agent:
+    """Discovery by script: each request is kept, and answered by the next of `answers`; without one it is not."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.answers, self.asked, self.at = list(answers), list[str](), list[float]()
+        self.more = trio.Event()
+        self.raw: socket.socket | None = None
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        data = b""
+        with suppress(trio.BrokenResourceError):
+            while part := await stream.receive_some():
+                data += part
+                while b"\r\n\r\n" in data:
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    self.asked.append(head.split()[1].decode())
+                    self.at.append(trio.current_time())
+                    self.raw = socket.fromfd(stream.socket.fileno(), socket.AF_INET, socket.SOCK_STREAM)
+                    self.more.set()
+                    self.more = trio.Event()
+                    if self.answers:
+                        await stream.send_all(self.answered(self.answers.pop(0)))
+
+    @staticmethod
+    def answered(body: bytes) -> bytes:
+        return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+
+    async def calls(self, count: int) -> None:
+        with trio.fail_after(8):
+            while len(self.asked) < count:
+                await self.more.wait()
+
+
+@asynccontextmanager
+async def followed(*agents: Agent) -> AsyncIterator[tuple[Discovery, list[face.Listed], list[tuple[str, int]]]]:
+    told = list[face.Event]()
+    async with trio.open_nursery() as nursery:
+        places = []
+        for agent in agents:
+            doors = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, agent.serve, doors)
+            places.append(doors[0].socket.getsockname()[:2])
+        state = servers.Following(lambda low, high: low)
+        discovery = Discovery(places[0], state, told.append, lambda event, **said: None)
+        nursery.start_soon(discovery.follow)
+        yield discovery, told, places  # type: ignore[misc]
+        nursery.cancel_scope.cancel()
+
+
+def names(told: face.Event) -> set[str]:
+    assert isinstance(told, face.Listed)
+    return {worker.id for worker in told.workers}
+
+
+async def test_a_new_place_is_asked_for_its_whole_list_though_both_count_alike() -> None:
+    old, new = Agent(listed(5, "s-1")), Agent(listed(5, "s-2"))
+    async with followed(old, new) as (discovery, told, places):
+        await old.calls(2)
+        discovery.move(places[1])
+        await new.calls(2)
+        assert new.asked[0] == servers.PATH and "index=5" in new.asked[1]
+        assert names(told[-1]) == {"s-2"}
+
+
+async def test_an_answer_that_comes_in_the_turn_of_a_move_stands_for_nothing() -> None:
+    """The mover waits for the very bytes that the follower waits for, on a descriptor of its own: both are woken in one
+    turn, in an order that is chance."""
+    for _ in range(16):
+        old, new = Agent(listed(5, "s-1")), Agent(listed(2, "s-2"))
+        async with followed(old, new) as (discovery, told, places):
+            await old.calls(2)
+            await trio.testing.wait_all_tasks_blocked()
+            assert old.raw is not None
+            twin, told_before = _twin_of(old.raw), list[int]()
+
+            async def move(twin: socket.socket = twin, discovery: Discovery = discovery, told: list[Any] = told,
+                           place: tuple[str, int] = places[1], told_before: list[int] = told_before) -> None:
+                await trio.lowlevel.wait_readable(twin)
+                told_before.append(len(told))
+                discovery.move(place)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(move)
+                await trio.testing.wait_all_tasks_blocked()
+                old.raw.send(Agent.answered(listed(9, "s-9")))
+            await new.calls(2)
+            assert new.asked[0] == servers.PATH, "not a watch from a version of the old place"
+            assert [names(list_) for list_ in told[told_before[0]:]] == [{"s-2"}]
+            twin.close()
+
+
+def _twin_of(server: socket.socket) -> socket.socket:
+    """Our own client's end of this connection, on a descriptor of its own."""
+    for link in Path("/proc/self/fd").iterdir():
+        with suppress(OSError, ValueError):
+            found = socket.socket(fileno=os.dup(int(link.name)))
+            if found.type == socket.SOCK_STREAM and found.getsockname() == server.getpeername():
+                return found
+            found.close()
+    raise AssertionError("no such connection")
+
+
+@pytest.mark.parametrize(("answers", "least"), [
+    ([listed(5, "s-1")] + [listed(5, reset=False)] * 20, 8),  # at once, and nothing new
+    ([listed(5, "s-1")] * 20, 8),  # the whole list again and again
+    ([listed(5, "s-1"), listed(4, reset=False)] * 10, 4),  # a version that goes back each time
+])
+async def test_a_discovery_that_answers_at_once_is_not_asked_without_a_pause(answers: list[bytes], least: int) -> None:
+    agent = Agent(*answers)
+    async with followed(agent):
+        await agent.calls(10)
+        assert agent.at[9] - agent.at[0] >= least * servers.LEAST * 0.9
+
+
+async def test_changes_that_move_on_are_followed_without_a_pause() -> None:
+    agent = Agent(listed(5, "s-1"), *(listed(6 + n, f"s-{n}", reset=False) for n in range(30)))
+    async with followed(agent) as (_, told, _):
+        await agent.calls(32)
+        assert agent.at[31] - agent.at[0] < 30 * servers.LEAST and len(told) == 31
+
+
+async def test_a_list_that_breaks_off_or_names_what_can_t_be_dialled_changes_nothing() -> None:
+    spoilt = [listed(6, "s-2").replace(b":9000", port) for port in (":²".encode(), b":0", b":99999", b"", b":9x")]
+    agent = Agent(listed(5, "s-1"), *spoilt, listed(7, "s-3")[:-9], listed(8, "s-4"))
+    async with followed(agent) as (discovery, told, _):
+        await agent.calls(9)
+        assert [names(list_) for list_ in told] == [{"s-1"}, {"s-4"}] and discovery.addresses.keys() == {"s-4"}
