The gRPC front and the operators' endpoint end what they have begun

Seen: SIGHUP, SIGTERM and SIGINT in one moment ended `dunlinlug manager` by a signal instead of with status 0; a frame under way at the stop was cut and the goodbye written behind the half of it, which a peer reads as the frame's rest (test: 400 KB to a peer that reads slowly). At fault: Link._write, cancelled in send_all; run's goodbye, which did not ask. Now the write is shielded and bounded by 0.5 s, and no goodbye follows what was cut. Requests at the operators' endpoint have a second to be answered.

--- a/dunlinlug/ads/main.py
+++ b/dunlinlug/ads/main.py
@@ -1,11 +1,10 @@
 """The manager as a process: puts the parts together, starts and stops them, reloads what may change."""
 
-import signal
 import ssl
 import sys
 import time
 import traceback
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -38,6 +37,7 @@
 from dunlinlug.manager.loop import Decider, Loop
 from dunlinlug.manager.probes import Prober
 from dunlinlug.manager.roster import Follower
+from dunlinlug.manager.signals import STOPS, Signals
 from dunlinlug.manager.skew import Skewed
 from dunlinlug.manager.watch import Watch
 from dunlinlug.net import grpc, http, tls
@@ -47,6 +47,8 @@
 from dunlinlug.roster import entries
 from dunlinlug.roster.follow import Following
 
+FINISH = 1.0  # seconds from a stop for operators' requests under way, most of which take a few milliseconds
+
 
 def wall_offset() -> float:
     """The loop's clock less the wall clock: adds to a wall time to give the module's."""
@@ -244,7 +246,7 @@
         if self.helm is None:
             self.office.board.restore(trio.current_time(), self.kept.pins())
         nursery.start_soon(self.office.board.run)
-        nursery.start_soon(http.serve, self.office.answer, doors, self.operators.quiet_most)
+        nursery.start_soon(http.serve, self.office.answer, doors, self.operators.quiet_most, FINISH)
         self.note("operators.ready", listen=f"{self.office_at[0]}:{self.office_at[1]}")
 
     def _follower(self, source: terms.Source, chance: Random) -> Follower:
@@ -253,8 +255,9 @@
         return Follower(client, state, source.within, lambda: wall_offset() + self.loop.shift, self.loop.tell,
                         self.kept.put_list, self.note)
 
-    async def run(self, task_status: trio.TaskStatus[tuple[str, int]] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until SIGTERM or SIGINT; raises OSError if the port is taken."""
+    async def run(self, signals: Signals | None = None,
+                  task_status: trio.TaskStatus[tuple[str, int]] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until SIGTERM or SIGINT, or until cancelled; raises OSError if the port is taken."""
         own, source = self.book.one(terms.Desk), self.book.one(terms.Source)
         listeners = await trio.open_tcp_listeners(own.listen[1], host=own.listen[0])
         async with trio.open_nursery() as nursery:
@@ -291,11 +294,10 @@
             nursery.start_soon(grpc.serve, listeners, self.service.answer, own.hello_within, own.quiet_most,
                                self._link_fault, lambda: self.context,
                                lambda why: self.note("proxy.unproven", why=why))
-            # Danger: a SIGHUP right after we said that we are ready would end us, if nobody took it yet.
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-                self.note("manager.ready", epoch=self.epoch, listen=f"{own.listen[0]}:{own.listen[1]}")
-                task_status.started(listeners[0].socket.getsockname()[:2])
-                await self._until_ended(signals)
+            self.note("manager.ready", epoch=self.epoch, listen=f"{own.listen[0]}:{own.listen[1]}")
+            task_status.started(listeners[0].socket.getsockname()[:2])
+            await self._until_ended(signals or Signals())
+            self.loop.stop()
             if self.membership is not None:
                 self.membership.leave()
             nursery.cancel_scope.cancel()
@@ -314,10 +316,8 @@
         self.loop.tell(face.Listed("kept", tuple(workers)))
         self.note("store.read", workers=len(workers))
 
-    async def _until_ended(self, signals: AsyncIterator[int]) -> None:
-        async for number in signals:
-            if number != signal.SIGHUP:
-                return
+    async def _until_ended(self, signals: Signals) -> None:
+        while await signals.receive() not in STOPS:
             self._reload()
 
     def _link_fault(self, error: Exception) -> None:
@@ -365,6 +365,8 @@
 def serve(path: Path, make: Callable[[face.Trade], Decider] = Balancer, clock_rate: float = 1.0) -> int:
     """Run a manager by its file; gives the exit status: 2 for a file or store that cannot be used. `clock_rate` is for
     days on which clocks drift apart."""
+    signals = Signals()
+    signals.take()
     try:
         book = terms.read(path)
         log.set_up(book.one(terms.Desk).log)
@@ -373,7 +375,7 @@
         print(f"dunlinlug: {fault}", file=sys.stderr)
         return 2
     try:
-        trio.run(manager.run, clock=Skewed(clock_rate) if clock_rate != 1.0 else None)
+        trio.run(manager.run, signals, clock=Skewed(clock_rate) if clock_rate != 1.0 else None)
     except OSError as fault:
         print(f"dunlinlug: cannot serve: {fault}", file=sys.stderr)
         return 1
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -4,6 +4,7 @@
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from math import inf
 
 import trio
 
@@ -12,6 +13,7 @@
 
 READ = 2**16  # bytes asked of a socket at a time
 AHEAD = 256  # messages a peer may send ahead of their handling before its call is ended
+GOODBYE = 0.5  # seconds for what is being written at the end, and a goodbye: none is owed to a peer that is stuck
 UNREAD = 2**22  # bytes left to write from which on nothing more is read: a peer must take its answers
 
 
@@ -85,6 +87,7 @@
         self.outgoing, self.unwritten = list[bytes](), 0  # bytes taken from the connection and not yet written
         self.heard_at = trio.current_time()
         self.gate: trio.Event | None = None  # set to stop reading until the event is set
+        self.writing, self.cut, self.ends_at = trio.CancelScope(), False, inf
 
     def flush(self) -> None:
         """Take what the connection has to send; the writer is woken only if there is something."""
@@ -125,12 +128,13 @@
         finally:
             for call in list(self.calls.values()):
                 call.end(None, "the link broke")
-            with trio.move_on_after(0.5) as scope:  # a goodbye that a stuck peer does not take is not owed
+            with trio.move_on_at(self.ends_at) as scope:
                 scope.shield = True
                 self.connection.close()
-                self.flush()
-                with suppress(trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
-                    await self.socket.send_all(b"".join(self.outgoing))
+                if not self.cut:  # Danger: behind half a frame, the goodbye would be read as the rest of it
+                    self.flush()
+                    with suppress(trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+                        await self.socket.send_all(b"".join(self.outgoing))
             await trio.aclose_forcefully(self.socket)
 
     async def _read(self, nursery: trio.Nursery, answer: Callable[[Call], Awaitable[None]] | None) -> None:
@@ -193,7 +197,10 @@
             self.wanted = trio.Event()
             data, self.outgoing = b"".join(self.outgoing), []
             try:
-                await self.socket.send_all(data)
+                # Danger: cancelled in the middle, nobody would know how much of a frame has gone.
+                with trio.CancelScope(shield=True, deadline=self.ends_at) as self.writing:
+                    await self.socket.send_all(data)
+                self.cut = self.writing.cancelled_caught
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 await trio.aclose_forcefully(self.socket)
                 return
@@ -203,6 +210,13 @@
                 self.moved = trio.Event()
 
     async def _watch(self, scope: trio.CancelScope, hello: float | None, quiet_most: float) -> None:
+        """Ends a link that is silent for too long; at its end, however that comes, bounds what is still written."""
+        try:
+            await self._listen(scope, hello, quiet_most)
+        finally:
+            self.ends_at = self.writing.deadline = trio.current_time() + GOODBYE
+
+    async def _listen(self, scope: trio.CancelScope, hello: float | None, quiet_most: float) -> None:
         started = trio.current_time()
         while True:
             await trio.sleep(min(hello or quiet_most, quiet_most / 3))
