--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,7 @@
 """The module beside the plain model of the rules, on generated runs, and beside a broken module."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -117,3 +118,30 @@
     flip = iter(range(10**6))
     assert "messages" in broken_by(monkeypatch, lambda module, wanted: setattr(
         wanted, "out", {next(flip) % 2, 2 + next(flip) % 3} if module.fleet.ids else set()))
+
+
+class Bunched(Model):
+    """What comes in four steps comes in one instant, in an order that is drawn: a join ahead of the leave that it
+    follows, gone and ready, a mark and the reset behind it."""
+
+    def __init__(self, what: face.Trade, seed: int) -> None:
+        self.random = Random(f"{seed} order")
+        super().__init__(what)
+
+    def restart(self) -> None:
+        super().restart()
+        self.waiting = []
+
+    def step(self, span: float, events: list[face.Event]) -> None:
+        self.waiting += events
+        if self.module.fleet.ids and self.random.random() < 0.75:  # the list as kept comes first, as hosts tell it
+            return super().step(span, [])
+        self.random.shuffle(self.waiting if self.module.fleet.ids else [])
+        events, self.waiting = self.waiting, []
+        return super().step(span, events)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_events_of_one_instant_keep_the_rules_in_any_order(seed: int) -> None:
+    narrow = {"channel": face.Channel(300.0, 4.0, 900.0, 0.2, 0.5, 30, 10.0)} if seed % 2 else {}
+    assert not run(Bunched(trade(**narrow), seed), seed).broken
