--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -143,6 +143,8 @@
                 await self.left.wait()
 
     async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
+        if self.accepting.cancel_called:  # Danger: readable in the turn of the stop, it would still be taken
+            return
         try:
             sock, _ = listener.accept()
         except BlockingIOError:
