--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
@@ -259,6 +259,43 @@
         assert got == b"".join(parts)
 
 
+async def test_a_connection_that_is_readable_in_the_turn_of_the_stop_is_not_taken() -> None:
+    for _ in range(12):
+        stage = Stage()
+        async with stage.open():
+            door = _own(lambda one, place=stage.place: one.getsockname() == place)  # type: ignore[misc]
+            at_the_stop = list[int]()
+
+            async def stop(door: socket.socket = door, stage: Stage = stage,
+                           at_the_stop: list[int] = at_the_stop) -> None:
+                await trio.lowlevel.wait_readable(door)  # woken with the accepting task, in an order that is chance
+                at_the_stop.append(stage.front.accepted)
+                await stage.front.finish()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stop)
+                await trio.testing.wait_all_tasks_blocked()
+                stage.dial()
+            assert [stage.front.accepted] == at_the_stop
+            door.close()
+
+
+async def test_a_peer_that_resets_while_orders_wait_for_it_ends_alone() -> None:
+    stage = Stage()
+    async with stage.open():
+        good, gone = await stage.joined(), stage.dial(receives=4096)
+        gone.sendall(HELLO.replace(b"17", b"18"))
+        await stage.until(2)
+        stage.front.deliver(18, Parcel(order(4000) * 20, 80000.0, None))
+        assert stage.front.links[stage.peers.streams[18]].unsent
+        reset(gone)
+        await stage.until(1, face.Left)
+        stage.front.deliver(18, Parcel(order(10), 10.0, None))  # for a stream that has ended: lost
+        good.sendall(DEMAND)
+        await stage.until(1, face.Asked)
+        assert stage.peers.streams.keys() == {17}
+
+
 # The loop.
 
 
@@ -399,15 +436,25 @@
             twin.close()
 
 
+def _own(fits: Callable[[socket.socket], bool]) -> socket.socket:
+    """The one of our own sockets that fits, on a descriptor of its own."""
+    fitting = []
+    for link in list(Path("/proc/self/fd").iterdir()):
+        if link.is_socket():
+            one = socket.socket(fileno=os.dup(int(link.name)))
+            if one.family == socket.AF_INET and fits(one):
+                fitting.append(one)
+            else:
+                one.close()
+    found, *again = fitting  # a number that was free while we looked may have come to be a copy
+    for one in again:
+        one.close()
+    return found
+
+
 def _twin_of(server: socket.socket) -> socket.socket:
-    """Our own client's end of this connection, on a descriptor of its own."""
-    for link in Path("/proc/self/fd").iterdir():
-        with suppress(OSError, ValueError):
-            found = socket.socket(fileno=os.dup(int(link.name)))
-            if found.type == socket.SOCK_STREAM and found.getsockname() == server.getpeername():
-                return found
-            found.close()
-    raise AssertionError("no such connection")
+    """Our own client's end of this connection."""
+    return _own(lambda one: one.getsockname() == server.getpeername())
 
 
 @pytest.mark.parametrize(("answers", "least"), [
