What is let in follows what serves, once over a third of the fleet is out

Trace of one manager: at 15 s 58 of 60 cold workers wait outside, at 17 s 118 of 200, the gate lets all in (1.0) until 19.5 s, when the first late voids are told; at 21 s two seconds of lines wait, levels come behind them, 130 settle a second where 190 did, 37 at 28 s. At fault: Balancer._plan, which knows at once that three fifths of the weight are out and lets in as before.

Change: at most 1.5 times the part of the ready weight that serves is let in. Why 1.5: a fleet of three zones bears the loss of one, so nothing changes up to a third out. The least revenue goes first, as ever.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -176,7 +176,7 @@
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
     KNEE, LEAST, FORGET = 0.5, 0.5, 0.98  # what is near it; of the best settled rate, the least and kept
-    FLOOR, RECENT = 0.05, 16  # least share let in, to show how it fares; queues by whose median a jam is over
+    FLOOR, RECENT, SPARE = 0.05, 16, 1.5  # least let in; queues that tell a jam's end; a zone of three is spare
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
         # Work is not told; the SLA time stands for it, as longer work is given more time.
@@ -216,10 +216,10 @@
     def work(self) -> list[float]:
         return [asked * sla for asked, sla in zip(self.asked, self.sla, strict=True)]
 
-    def levels(self) -> list[float]:
+    def levels(self, serving: float = 1.0) -> list[float]:
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = self.work()
-        rest, shares = (1.0 - self.share) * sum(work), [1.0] * len(work)
+        rest, shares = (1.0 - min(self.share, self.SPARE * serving)) * sum(work), [1.0] * len(work)
         for k in self.order:
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
@@ -379,7 +379,7 @@
         shares = [self.all_in] * self.products
         if self.admits and heard:
             self.gate.step(now, voided, median(map(health.pace, heard)))
-            shares = self.gate.levels()
+            shares = self.gate.levels(sum(weight[i] for i in weight.keys() - self.out) / sum(weight.values()))
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         # Danger: a cold worker pushed over, a drained one sent to. Out while any table gives it too much.
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -276,3 +276,14 @@
         one, five = given[0], given[1:]
         assert sum(part / 5 for part in five) <= one + 1e-9
     assert one > 0.05, "and it is whole in the end"
+
+
+def test_once_over_a_third_is_out_what_is_let_in_follows_what_serves_ahead_of_the_jam() -> None:
+    for replaced, least in ((3, 1.0), (6, 0.1)):
+        model = started(12.0)
+        fleet(model, {n: (20, 3, 0.2) for n in range(9)}, 0.5)  # rough: the cold wait outside
+        model.step(0.1, [face.Listed("changes", tuple(worker(n, "ready", model.now - 1.0) for n in range(replaced)))])
+        orders = fleet(model, {n: (20, 3, 0.2) for n in range(replaced, 9)}, 2.0)
+        assert len(model.withdrawn) == replaced
+        assert min(levels(orders, 0), default=1.0) <= least and min(levels(orders, 1), default=1.0) >= 0.8
+        assert bool(levels(orders, 0)) == (replaced == 6)
