--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -176,7 +176,7 @@
     LESS = 0.7  # times what is let in for each beat in overload
     BACK, MORE = 1.25, 1.04  # for each calm beat, up to near the share at which overload began, and beyond it
     KNEE, LEAST, FORGET = 0.5, 0.5, 0.98  # what is near it; of the best settled rate, the least and kept
-    FLOOR, RECENT, SPARE = 0.05, 16, 1.5  # least let in; queues that tell a jam's end; a zone of three is spare
+    FLOOR, RECENT, SPARE = 0.05, 16, 1.5  # least let in; queues that tell a jam's end; a zone of three spare
 
     def __init__(self, products: tuple[face.Product, ...]) -> None:
         # Work is not told; the SLA time stands for it, as longer work is given more time.
