--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -241,7 +241,7 @@
     HOT = 1.25  # times what is usually asked of a worker, from which on a small table gets one more: a raise
 
     def __init__(self, trade: face.Trade) -> None:
-        self.uniform, self.slow = Random(trade.seed).uniform, max(trade.duties.warm_after, self.RAISE)
+        self.uniform = Random(trade.seed).uniform
         self.products, self.usual_retry = len(trade.products), trade.usual_retry
         self.ask_every, self.warm_after = trade.duties.ask_every, trade.duties.warm_after or 1e-6  # divides
         cold, rise = trade.duties.cold_share, (1.0 - trade.duties.cold_share) * self.RAISE / self.warm_after
@@ -442,7 +442,7 @@
         lines = (max(map(len, wants)) + 2.0) * len(self.seating.proxies)
         crowded = self.products * lines > self.TURN * self.account.rate
         # Departure: where one table to all takes longer than a ramp, small ones stay, and are kept up.
-        self.scant = crowded and len({*map(id, wants)}) == 1 and lines > self.slow * self.account.rate
+        self.scant = crowded and len({*map(id, wants)}) == 1 and lines > self.warm_after * self.account.rate
         if crowded:
             self._rescue(reply, wanted)
         self._withdraw(reply, wanted)
