Names: connections in the platform's front, unjoined ones for strangers

Link is Connection, strangers are unjoined connections; in the log, summary's strangers is unjoined and link.fault is connection.fault. No behaviour changes.

--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -19,15 +19,15 @@
 READ = 2**16  # bytes read at once
 UNSENT_MOST = 2**20  # bytes that may wait for a peer: minutes of orders; beyond it the peer does not read at all
 JOIN_WITHIN = 1.0  # seconds: the protocol allows to close what has not joined by then
-HASTE = 0.25  # seconds that a stranger has at least where there are too many and it has begun to speak
+HASTE = 0.25  # seconds that one not joined has at least where there are too many and it has begun to speak
 SILENT = 0.05  # seconds where it has said nothing: a joining follows its connect at once, and has come while it queued
 FINISH = 0.2  # seconds from a stop for what was begun to go out whole; a planned restart is killed after 0.7
-FULL_PAUSE = 0.02  # seconds to pause where descriptors have run out: strangers leave within a second
-BACKLOG = 4096  # connections that may wait to be accepted: every proxy of a large fleet at once, and many strangers
+FULL_PAUSE = 0.02  # seconds to pause where descriptors have run out: who does not join leaves within a second
+BACKLOG = 4096  # connections that may wait to be accepted: every proxy of a large fleet at once, and many others
 GOODBYE = 0.2  # seconds for a peer that was told an error to read it, before its connection is closed
 
 
-class Link:
+class Connection:
     """One connection's socket and what waits for it."""
 
     def __init__(self, sock: socket.socket, now: float) -> None:
@@ -97,12 +97,12 @@
 
 
 class Front:
-    """All connections. At most `strangers_most` that have not joined stand at once."""
+    """All connections. At most `unjoined_most` that have not joined stand at once."""
 
-    def __init__(self, peers: Peers, strangers_most: int, note: Callable[..., None]) -> None:
-        self.peers, self.strangers_most, self.note = peers, strangers_most, note
-        self.strangers: dict[Link, None] = {}  # the longest there first
-        self.links: dict[Peer, Link] = {}
+    def __init__(self, peers: Peers, unjoined_most: int, note: Callable[..., None]) -> None:
+        self.peers, self.unjoined_most, self.note = peers, unjoined_most, note
+        self.unjoined: dict[Connection, None] = {}  # the longest there first
+        self.connections: dict[Peer, Connection] = {}
         self.room = trio.Event()
         self.left = trio.Event()  # set at each connection's end, then replaced
         self.accepting = trio.CancelScope()
@@ -114,7 +114,7 @@
             return
         if parcel.mark is not None:
             peer.marks[parcel.mark] = trio.current_time()
-        self.links[peer].write(parcel.data)
+        self.connections[peer].write(parcel.data)
 
     async def serve(self, listener: socket.socket) -> None:
         """Accept until `finish` or cancelled, and serve until cancelled; closes the listener."""
@@ -131,15 +131,15 @@
     async def finish(self) -> None:
         """Nobody is taken any more; what was begun on streams goes out whole, as far as it is taken in FINISH."""
         self.accepting.cancel()
-        streams = {self.links[peer]: None for peer in self.peers.streams.values()}
-        for link in list(self.links.values()):
-            if link not in streams:
-                link.end("we stop")
+        streams = {self.connections[peer]: None for peer in self.peers.streams.values()}
+        for connection in list(self.connections.values()):
+            if connection not in streams:
+                connection.end("we stop")
         with trio.move_on_after(FINISH):
             async with trio.open_nursery() as nursery:
-                for link in streams:
-                    nursery.start_soon(link.finish)
-            while any(link.peer in self.links for link in streams):
+                for connection in streams:
+                    nursery.start_soon(connection.finish)
+            while any(connection.peer in self.connections for connection in streams):
                 await self.left.wait()
 
     async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
@@ -159,79 +159,79 @@
         with suppress(OSError):  # it may already have been reset, which its first reading tells
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.accepted += 1
-        link = Link(sock, trio.current_time())
-        self.links[link.peer] = link
-        self.strangers[link] = None
-        nursery.start_soon(self._attend, link)
+        connection = Connection(sock, trio.current_time())
+        self.connections[connection.peer] = connection
+        self.unjoined[connection] = None
+        nursery.start_soon(self._attend, connection)
 
     async def _make_room(self) -> None:
-        """Danger: strangers by the hundred would leave no descriptor for proxies: the oldest of them gives way, those
+        """Danger: unjoined ones by the hundred would leave no descriptor for proxies: the oldest of them gives way, those
         that said nothing first, so that a proxy that waits behind them is soon taken."""
-        while len(self.strangers) >= self.strangers_most:
-            silent = (link for link in self.strangers if not link.peer.lines.rest)
-            oldest = next(silent, next(iter(self.strangers)))
+        while len(self.unjoined) >= self.unjoined_most:
+            silent = (connection for connection in self.unjoined if not connection.peer.lines.rest)
+            oldest = next(silent, next(iter(self.unjoined)))
             self.room = trio.Event()
             with trio.move_on_at(oldest.since + (HASTE if oldest.peer.lines.rest else SILENT)):
                 await self.room.wait()
             if oldest.waiting():  # Danger: without a core for a while, its joining may have come long ago
                 await trio.lowlevel.checkpoint()
                 await trio.lowlevel.checkpoint()
-            if len(self.strangers) >= self.strangers_most and oldest in self.strangers:
+            if len(self.unjoined) >= self.unjoined_most and oldest in self.unjoined:
                 oldest.end("there are too many that have not joined")
                 with trio.move_on_after(FULL_PAUSE):
                     await self.room.wait()
 
-    def _known(self, link: Link) -> None:
+    def _known(self, connection: Connection) -> None:
         """It has joined or ended."""
-        if self.strangers.pop(link, self) is None:
+        if self.unjoined.pop(connection, self) is None:
             self.room.set()
 
-    async def _attend(self, link: Link) -> None:
+    async def _attend(self, connection: Connection) -> None:
         """One connection from its first byte to its end."""
         try:
-            with link.scope:
-                if await self._meet(link):
-                    async with trio.open_nursery() as nursery:  # strangers by the hundred are spared this
-                        nursery.start_soon(link.flush)
-                        while await self._once(link):
+            with connection.scope:
+                if await self._meet(connection):
+                    async with trio.open_nursery() as nursery:  # those that never join are spared this
+                        nursery.start_soon(connection.flush)
+                        while await self._once(connection):
                             pass
                         nursery.cancel_scope.cancel()
         except Exception as error:  # Danger: a mistake of ours in one connection would end them all
-            self.note("link.fault", why="".join(traceback.format_exception(error))[-2000:])
+            self.note("connection.fault", why="".join(traceback.format_exception(error))[-2000:])
         finally:
-            self.peers.left(link.peer)
-            self._known(link)
-            del self.links[link.peer]
-            link.sock.close()
-            link.nothing_waits()
+            self.peers.left(connection.peer)
+            self._known(connection)
+            del self.connections[connection.peer]
+            connection.sock.close()
+            connection.nothing_waits()
             self.left.set()
             self.left = trio.Event()
-            self.peers.counts[f"ended: {link.why or 'by the peer'}"] += 1
+            self.peers.counts[f"ended: {connection.why or 'by the peer'}"] += 1
 
-    async def _meet(self, link: Link) -> bool:
+    async def _meet(self, connection: Connection) -> bool:
         """Until it joins; tells whether it has."""
-        with trio.move_on_at(link.since + JOIN_WITHIN):
-            while not link.peer.joined:
-                if not await self._once(link):
+        with trio.move_on_at(connection.since + JOIN_WITHIN):
+            while not connection.peer.joined:
+                if not await self._once(connection):
                     return False
         # Danger: where we had no core for a while, a joining may be waiting that came in time.
-        if not link.peer.joined and not await self._read(link):
+        if not connection.peer.joined and not await self._read(connection):
             return False
-        if link.peer.joined:
-            self._known(link)
+        if connection.peer.joined:
+            self._known(connection)
             return True
-        link.why = "it did not join"
+        connection.why = "it did not join"
         return False
 
-    async def _once(self, link: Link) -> bool:
+    async def _once(self, connection: Connection) -> bool:
         """One reading; False at the connection's end."""
-        await trio.lowlevel.wait_readable(link.sock)
-        return await self._read(link)
+        await trio.lowlevel.wait_readable(connection.sock)
+        return await self._read(connection)
 
-    async def _read(self, link: Link) -> bool:
+    async def _read(self, connection: Connection) -> bool:
         """Take what has come, if anything."""
         try:
-            data = link.sock.recv(READ)
+            data = connection.sock.recv(READ)
         except BlockingIOError:
             return True
         except OSError:
@@ -239,29 +239,29 @@
         if not data:
             return False
         try:
-            answer = self.peers.take(link.peer, data, trio.current_time())
+            answer = self.peers.take(connection.peer, data, trio.current_time())
         except Turned as fault:
-            link.why = "can't be read" if link.peer.joined else "turned away"
-            self.peers.sample(f"{link.why}: {fault}", data)
-            if not link.peer.joined:  # to collectors nothing is ever written, and what is left is left at once
-                await self._goodbye(link, messages.error(str(fault)))
+            connection.why = "can't be read" if connection.peer.joined else "turned away"
+            self.peers.sample(f"{connection.why}: {fault}", data)
+            if not connection.peer.joined:  # to collectors nothing is ever written, and what is left is left at once
+                await self._goodbye(connection, messages.error(str(fault)))
             return False
         if answer:
-            link.write(answer)
+            connection.write(answer)
         return True
 
-    async def _goodbye(self, link: Link, last: bytes) -> None:
+    async def _goodbye(self, connection: Connection, last: bytes) -> None:
         """Danger: closed with bytes unread, a connection is reset, and the peer may never see why."""
-        link.write(last)
+        connection.write(last)
         try:
-            link.sock.shutdown(socket.SHUT_WR)
+            connection.sock.shutdown(socket.SHUT_WR)
         except OSError:
             return
         with trio.move_on_after(GOODBYE):
             while True:
-                await trio.lowlevel.wait_readable(link.sock)
+                await trio.lowlevel.wait_readable(connection.sock)
                 try:
-                    if not link.sock.recv(READ):
+                    if not connection.sock.recv(READ):
                         return
                 except BlockingIOError:
                     continue
--- a/dunlinlug/platform/main.py
+++ b/dunlinlug/platform/main.py
@@ -76,7 +76,7 @@
                              tuple(product.home_only for product in told.trade.products))
         self.peers = peers.Peers(told.zones, told.proxies, products, lambda worker: worker in self.orders.known,
                                  self._tell)
-        # Danger: strangers must leave a descriptor for every proxy and every collector.
+        # Danger: unjoined connections must leave a descriptor for every proxy and every collector.
         joined = told.proxies + peers.COLLECTORS_MOST * len(told.zones) + OWN_FILES
         self.front = front.Front(self.peers, max(told.limits.sockets - joined, 8), say)
         self.channel = Unpaced(self.front.deliver)
@@ -164,7 +164,7 @@
             await trio.sleep(SUMMARY)
             say("summary", batches=self.loop.batches - batches, joined=len(self.peers.streams),
                 collectors={zone: len(kept) for zone, kept in self.peers.collectors.items()},
-                strangers=len(self.front.strangers), accepted=self.front.accepted, workers=len(self.orders.listed),
+                unjoined=len(self.front.unjoined), accepted=self.front.accepted, workers=len(self.orders.listed),
                 out=len(self.orders.out), messages=round(self.channel.messages), lines=round(self.channel.lines),
                 cpu=round(time.process_time(), 2), counts=dict(self.counts), peers=dict(self.peers.counts),
                 samples=self.peers.samples)
--- a/dunlinlug/platform/messages.py
+++ b/dunlinlug/platform/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta
 
-STRANGER_MOST = 4096  # bytes of a line before joining: a joining is a tenth of it
+UNJOINED_MOST = 4096  # bytes of a line before joining: a joining is a tenth of it
 JOINED_MOST = 2**20  # bytes of a line after it: the protocol's own bound
 DEEPEST = 16  # brackets opened in one message: a report opens two
 
@@ -94,7 +94,7 @@
 class Lines:
     """Splits what comes into lines of at most `most` bytes; `most` may be raised once a peer has joined."""
 
-    def __init__(self, most: int = STRANGER_MOST) -> None:
+    def __init__(self, most: int = UNJOINED_MOST) -> None:
         self.most = most
         self.rest = bytearray()
         self.looked = 0  # bytes of the rest that hold no line's end
--- a/dunlinlug/platform/peers.py
+++ b/dunlinlug/platform/peers.py
@@ -1,5 +1,5 @@
-"""Who stands at the manager's address: strangers, collectors and proxies. Bytes in; events for the module, bytes for
-the peer and its end out. No socket; times are the caller's clock in seconds."""
+"""Who stands at the manager's address: collectors, proxies, and who has not joined. Bytes in; events for the module,
+bytes for the peer and its end out. No socket; times are the caller's clock in seconds."""
 
 from collections import Counter
 from collections.abc import Callable
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 from dunlinlug.manager.loop import Loop
 from dunlinlug.platform import messages, servers
 from dunlinlug.platform.discovery import Discovery
-from dunlinlug.platform.front import FINISH, SILENT, Front, Link, listen
+from dunlinlug.platform.front import FINISH, SILENT, Connection, Front, listen
 from dunlinlug.platform.main import Unpaced
 from dunlinlug.platform.orders import Parcel
 from dunlinlug.platform.peers import Peers, Turned
@@ -30,10 +30,10 @@
 class Stage:
     """A front at work, what it told, and raw clients of it that block nothing."""
 
-    def __init__(self, strangers_most: int = 64) -> None:
+    def __init__(self, unjoined_most: int = 64) -> None:
         self.told, self.notes = list[face.Event](), list[Any]()
         self.peers = Peers(("a", "b"), 400, ("read", "book"), lambda worker: True, self.told.append)
-        self.front = Front(self.peers, strangers_most, lambda event, **said: self.notes.append((event, said)))
+        self.front = Front(self.peers, unjoined_most, lambda event, **said: self.notes.append((event, said)))
         self.clients: list[socket.socket] = []
 
     @asynccontextmanager
@@ -107,11 +107,11 @@
 def test_who_was_turned_away_or_ended_joins_no_more() -> None:
     stage = Stage()
     left, right = socket.socketpair()
-    link = Link(left, 0.0)
+    joining = Connection(left, 0.0)
     with pytest.raises(Turned):
-        stage.peers.take(link.peer, b"garbage\n", 0.0)
-    assert stage.peers.take(link.peer, HELLO, 0.0) == b"" and not stage.told
-    ended = Link(right, 0.0)
+        stage.peers.take(joining.peer, b"garbage\n", 0.0)
+    assert stage.peers.take(joining.peer, HELLO, 0.0) == b"" and not stage.told
+    ended = Connection(right, 0.0)
     ended.end("there are too many that have not joined")
     assert stage.peers.take(ended.peer, HELLO + DEMAND, 0.0) == b"" and not stage.told and not stage.peers.streams
     left.close(), right.close()
@@ -119,7 +119,7 @@
 
 async def test_a_hello_in_the_socket_as_its_connection_is_to_give_way_is_heard() -> None:
     for _ in range(12):
-        stage = Stage(strangers_most=1)
+        stage = Stage(unjoined_most=1)
         async with stage.open():
             first = stage.dial()
             await trio.testing.wait_all_tasks_blocked()
@@ -134,7 +134,7 @@
 
 @pytest.mark.parametrize("begun", [b"", b'{"@type":"hel'])
 async def test_a_proxy_behind_a_flood_of_strangers_is_soon_taken(begun: bytes) -> None:
-    stage = Stage(strangers_most=8)
+    stage = Stage(unjoined_most=8)
     async with stage.open():
         for _ in range(60 if begun else 300):
             stage.dial().sendall(begun)
@@ -195,11 +195,11 @@
         client = stage.dial(receives=4096)
         client.sendall(HELLO)
         await stage.until(1)
-        [link] = stage.front.links.values()
-        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        [connection] = stage.front.connections.values()
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         whole = order(4000) + order(100)
         stage.front.deliver(17, Parcel(whole, 4000.0, None))
-        assert link.unsent, "the socket took a part"
+        assert connection.unsent, "the socket took a part"
         client.sendall(DEMAND)  # unread by us: closed over it, the connection would be reset under what it still holds
         got = b""
 
@@ -287,7 +287,7 @@
         gone.sendall(HELLO.replace(b"17", b"18"))
         await stage.until(2)
         stage.front.deliver(18, Parcel(order(4000) * 20, 80000.0, None))
-        assert stage.front.links[stage.peers.streams[18]].unsent
+        assert stage.front.connections[stage.peers.streams[18]].unsent
         reset(gone)
         await stage.until(1, face.Left)
         stage.front.deliver(18, Parcel(order(10), 10.0, None))  # for a stream that has ended: lost
--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -189,7 +189,7 @@
                 process.kill()
                 await process.wait()
             nursery.cancel_scope.cancel()
-    assert took < 10 and "link.fault" not in log.read_text()
+    assert took < 10 and "connection.fault" not in log.read_text()
 
 
 # Settings.
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -10,7 +10,7 @@
 from dunlinlug import interface as face
 from dunlinlug.manager.anchors import Anchors
 from dunlinlug.platform import messages, peers, servers
-from dunlinlug.platform.front import UNSENT_MOST, Link
+from dunlinlug.platform.front import UNSENT_MOST, Connection
 from dunlinlug.platform.messages import Push, Unfit, Unreadable, write
 from dunlinlug.platform.peers import COLLECTORS_MOST, Peer, Peers, Turned
 
@@ -73,7 +73,7 @@
     b"GET / HTTP/1.1\r\n", b"\x00\x01", b"[1]\n", b"{}\n", b"42\n", b"\n", b'{"@type":"probe"\n', OUTCOMES + b"\n",
     b'{"@type":"push","full":true}\n', DEMAND + b"\n", ACK + b"\n", HELLO.replace(b"17", b"20") + b"\n",
     HELLO.replace(b'"a"', b'"c"') + b"\n", AGENT.replace(b'"a"', b'"c"') + b"\n", b'{"@type":"agent","site":7}\n',
-    b'{"' + b"x" * messages.STRANGER_MOST, b'{"@type":"probe","x":' + b"[" * 3000 + b"\n", HELLO[:-1] + b',"rps":-1}\n',
+    b'{"' + b"x" * messages.UNJOINED_MOST, b'{"@type":"probe","x":' + b"[" * 3000 + b"\n", HELLO[:-1] + b',"rps":-1}\n',
     b'{"@type":"hello","id":17,"site":"a","rps":1,"new":1}\n', b'{"@type":"\xff\xfe"}\n'])
 def test_a_stranger_that_can_t_be_read_or_used_is_turned_away(data: bytes) -> None:
     desk = Desk()
@@ -194,7 +194,7 @@
     ours, theirs = socket.socketpair()
     with ours, theirs:
         ours.setblocking(False)
-        link = Link(ours, 0.0)
+        link = Connection(ours, 0.0)
         for _ in range(100):
             link.write(b"x" * 2**16)
             if link.why:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -280,7 +280,7 @@
                 await trio.sleep(0.05)
         nursery.cancel_scope.cancel()
         assert 0 < most < 128 - 3 * len(ZONES)  # room is kept for every proxy and collector
-    assert not running.said("link.fault")
+    assert not running.said("connection.fault")
 
 
 @pytest.mark.parametrize(("text", "why"), [
