--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -165,8 +165,8 @@
         nursery.start_soon(self._attend, connection)
 
     async def _make_room(self) -> None:
-        """Danger: unjoined ones by the hundred would leave no descriptor for proxies: the oldest of them gives way, those
-        that said nothing first, so that a proxy that waits behind them is soon taken."""
+        """Danger: unjoined ones by the hundred would leave no descriptor for proxies: the oldest of them gives way,
+        those that said nothing first, so that a proxy that waits behind them is soon taken."""
         while len(self.unjoined) >= self.unjoined_most:
             silent = (connection for connection in self.unjoined if not connection.peer.lines.rest)
             oldest = next(silent, next(iter(self.unjoined)))
