Names: a product's deadline; idempotent and non-idempotent for how it may repeat

A file with the old words is refused with one line that names the key or the words known. No behaviour changes.

--- a/dunlinlug/audit/rules.py
+++ b/dunlinlug/audit/rules.py
@@ -101,7 +101,7 @@
     wares = records.book.many(manager_terms.Ware)
     effects: dict[tuple[str, int], list[Line]] = defaultdict(list)
     for line in records.of("effect"):
-        if wares[line["product"]].repeats != "inquiry-like":
+        if wares[line["product"]].repeats != "idempotent":
             effects[line["txn"], line["client"]].append(line)
     repeated = {key for key, lines in effects.items() if len(lines) > 1}
     tries = defaultdict(list)
--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -251,7 +251,7 @@
         self.home = [k for k, product in enumerate(trade.products) if product.home_only]  # their zone's alone
         self.each = 2.0 if 0 < len(self.home) < self.products else 1.0  # lines for a worker: those apart
         self.fleet, self.account = Fleet(), Account(trade.channel)
-        self.health = Health(self.uniform, max(product.expiry for product in trade.products) + self.LATENESS)
+        self.health = Health(self.uniform, max(p.deadline for p in trade.products) + self.LATENESS)
         self.gate, self.admits = Gate(trade.products), trade.admits == "share"
         self.all_in = 1.0 if self.admits else 1e6  # where levels are rates, a share of 1 would shut a proxy
         self.seating, self.current = Seating(self.products), dict[int, Table]()
--- a/dunlinlug/day/play.py
+++ b/dunlinlug/day/play.py
@@ -183,8 +183,8 @@
     async def play(self) -> None:
         """The whole day; raises DayFault, and leaves no process either way."""
         day = self.book.one(terms.Day)
-        expiry = max(ware.expiry for ware in self.book.many(manager_terms.Ware).values())
-        whole = day.lead + day.length + expiry + 1.0
+        deadline = max(ware.deadline for ware in self.book.many(manager_terms.Ware).values())
+        whole = day.lead + day.length + deadline + 1.0
         try:
             with trio.fail_after(whole + 2 * READY):
                 async with self._relays(), self._cast(), trio.open_nursery() as self.nursery:
--- a/dunlinlug/guard/judge.py
+++ b/dunlinlug/guard/judge.py
@@ -186,7 +186,7 @@
         product = self.trade.products[order.product]
         # Danger: an effect twice. After a failure that proves nothing only what may run again is tried again; a
         # mark against repeats holds within its group alone, and the next worker may be outside it.
-        guarded = product.repeats == "inquiry-like" or product.repeats == "referenced" and product.group == "all"
+        guarded = product.repeats == "idempotent" or product.repeats == "referenced" and product.group == "all"
         if order.retry > 1 and not guarded:
             return Refusal(order, "twice", f"way {order.retry} for {product.name}, which is {product.repeats}",
                            "way 0 or 1", tuple(self.trial.users(order.tbl)))
--- a/dunlinlug/interface.py
+++ b/dunlinlug/interface.py
@@ -8,14 +8,14 @@
 
 @dataclass(frozen=True)
 class Product:
-    """A kind of txn. `repeats` is 'inquiry-like', 'referenced' or 'once-only'."""
+    """A kind of txn. `repeats` is 'idempotent', 'referenced' or 'non-idempotent'."""
 
     name: str
     sla: float
-    expiry: float
+    deadline: float
     revenue: float
     late_share: float = 0.0
-    repeats: str = "once-only"
+    repeats: str = "non-idempotent"
     group: str = "all"
     window: float = 0.0
     home_only: bool = False
--- a/dunlinlug/standin/callers.py
+++ b/dunlinlug/standin/callers.py
@@ -1,4 +1,4 @@
-"""Stand-in clients: an open-loop load, so that a slow fleet does not slow the load, with retries and expiry."""
+"""Stand-in clients: an open-loop load, so that a slow fleet does not slow the load, with retries and deadlines."""
 
 import base64
 from itertools import accumulate
@@ -66,10 +66,10 @@
     async def _txn(self, txn: str, product: str, door: http.Client, work: float) -> None:
         ware, started, outcome = self.wares[product], trio.current_time(), "voided"
         self.underway += 1
-        with trio.move_on_after(ware.expiry):
+        with trio.move_on_after(ware.deadline):
             for client in range(1 + self.load.retries):
-                outcome, proof = await self._call(txn, product, door, work, client, started + ware.expiry)
-                if outcome == "settled" or not (proof or ware.repeats == "inquiry-like"):
+                outcome, proof = await self._call(txn, product, door, work, client, started + ware.deadline)
+                if outcome == "settled" or not (proof or ware.repeats == "idempotent"):
                     break
                 await trio.sleep(self.load.backoff)
         self.underway -= 1
--- a/dunlinlug/terms.py
+++ b/dunlinlug/terms.py
@@ -187,16 +187,16 @@
     """[product NAME]."""
 
     sla: Seconds
-    expiry: Seconds
+    deadline: Seconds
     revenue: float
-    repeats: Literal["inquiry-like", "referenced", "once-only"]
+    repeats: Literal["idempotent", "referenced", "non-idempotent"]
     late_share: Share = Share(0.0)
     group: Literal["all", "zone", "cell"] = "all"
     window: Seconds = Seconds(0.0)
 
     def __attrs_post_init__(self) -> None:
-        if self.expiry < self.sla:
-            raise ValueError("expiry is shorter than sla; it is the time after which a client gives up")
+        if self.deadline < self.sla:
+            raise ValueError("deadline is shorter than sla; it is the time after which a client gives up")
 
 
 SINGLE = {"manager": Desk, "channel": Outlet, "duties": Obligations, "roster": Source, "probes": Probing,
@@ -244,7 +244,7 @@
     """What the module is told at its start."""
     desk, outlet, duties = book.one(Desk), book.one(Outlet), book.one(Obligations)
     source, hearing = book.one(Source), book.one(Hearing)
-    products = tuple(face.Product(name, ware.sla, ware.expiry, ware.revenue, ware.late_share, ware.repeats,
+    products = tuple(face.Product(name, ware.sla, ware.deadline, ware.revenue, ware.late_share, ware.repeats,
                                   ware.group, ware.window) for name, ware in book.many(Ware).items())
     channel = face.Channel(outlet.lines_per_s, float(outlet.message_lines), float(outlet.waiting_most),
                            outlet.transit, outlet.transit_most, outlet.messages_most, outlet.messages_span)
--- a/dunlinlug/told.py
+++ b/dunlinlug/told.py
@@ -10,7 +10,7 @@
 from dunlinlug import interface as face
 
 MICRO, MILLI = 1e6, 1e3
-REPEATS = {"pure": "inquiry-like", "token": "referenced", "side_effect": "once-only"}
+REPEATS = {"pure": "idempotent", "token": "referenced", "side_effect": "non-idempotent"}
 ADMITS = {"ratio": "share", "rps": "rate"}
 LOADS = {"depth": "queue", "mean_ms": "service_s", "concurrent": "held", "load_share": "busy",
          "tps": "settled_per_s", "err_ps": "voided_per_s"}
@@ -60,7 +60,7 @@
     products = tuple(
         face.Product(
             name=lane["name"], sla=seconds(_number(lane, "aimUs", TINY)),
-            expiry=seconds(_number(lane, "hardLimitUs", TINY)), revenue=_number(lane, "points"),
+            deadline=seconds(_number(lane, "hardLimitUs", TINY)), revenue=_number(lane, "points"),
             late_share=float(lane.get("lateShare") or 0.0), repeats=REPEATS[lane["effect"]],
             group=lane.get("group") or "all", window=seconds(lane.get("windowUs") or 0),
             home_only=bool(k < len(home_only) and home_only[k]),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,8 +10,8 @@
 
 
 def trade(**changes: object) -> face.Trade:
-    products = (face.Product("read", 0.8, 2.0, 1.0, repeats="inquiry-like"),
-                face.Product("book", 0.8, 2.0, 5.0, repeats="once-only"))
+    products = (face.Product("read", 0.8, 2.0, 1.0, repeats="idempotent"),
+                face.Product("book", 0.8, 2.0, 5.0, repeats="non-idempotent"))
     channel = face.Channel(1200.0, 4.0, 2400.0, 0.2, 0.5, 30, 10.0)
     duties = face.Duties(5.0, 3.0, 10.0, 16.0, 0.2, 3.0, 2.0)
     given = {"seed": 7, "zone": "north", "products": products, "channel": channel, "duties": duties,
@@ -144,7 +144,7 @@
                             acts[proxy].append(("withdraw", name, out))
                             lines[proxy] += 1
                 case face.Admit(number, product, retry, _):
-                    if retry > 1 and self.trade.products[product].repeats != "inquiry-like":
+                    if retry > 1 and self.trade.products[product].repeats != "idempotent":
                         self.broken.add("an effect twice")
                     for proxy, bound in self.bound.items():
                         lines[proxy] += number in bound.values()
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -34,7 +34,7 @@
     ("lines_per_s = 1200/s", "lines_per_s = 1200ms", "lines_per_s", "a rate, such as"),
     ("cold_share = 30%", "cold_share = 130%", "cold_share", "at most 100%"),
     ("drain_grace = 3s", "drain_grase = 3s", "drain_grase", "did you mean 'drain_grace'?"),
-    ("repeats = referenced", "repeats = keyed", "repeats", "inquiry-like, referenced, once-only"),
+    ("repeats = referenced", "repeats = keyed", "repeats", "idempotent, referenced, non-idempotent"),
     ("listen = 127.0.0.1:18000", "listen = 10.0.0.1:18000", "listen", "a loopback address"),
     ("allowed = yes", "allowed = maybe", "allowed", "yes or no"),
     ("[reports]", "[report]", "[report]", "did you mean 'reports'?"),
@@ -49,7 +49,7 @@
 
 
 def test_missing_and_double_and_unreadable_are_one_line_each(tmp_path: Path) -> None:
-    for change in [("bare = 4s\n", ""), ("bare = 4s\n", "bare = 4s\nbare = 5s\n"), ("expiry = 2s", "expiry = 2ms")]:
+    for change in [("bare = 4s\n", ""), ("bare = 4s\n", "bare = 4s\nbare = 5s\n"), ("deadline = 2s", "deadline = 2ms")]:
         with pytest.raises(BookFault) as caught:
             terms.read(manager_file(tmp_path, change))
         assert "\n" not in str(caught.value) and "manager.ini:" in str(caught.value)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -61,7 +61,7 @@
     ("cold_share = 30%", "cold_share = 5%"),
     ("cold_from = 30%\ncold = 5s", "cold_from = 5%\ncold = 20s"), ("warm_after = 6s", "warm_after = 21s"),
     ("fall_after = 2s", "fall_after = 1500ms"),
-    ("repeats = referenced\ngroup = zone\nwindow = 1200ms", "repeats = once-only"),
+    ("repeats = referenced\ngroup = zone\nwindow = 1200ms", "repeats = non-idempotent"),
     ("txns_per_s = 40/s", "txns_per_s = 200/s"), ("work = 60ms", "work = 50ms"),
     ("part = 30%\nsize = 2", "part = 30%\nsize = 2\n\n[trouble lost]\nkind = answers_lost\nat = 1s\nlasts = 6s\n"
                              "part = 30%"),
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -103,7 +103,7 @@
 
 
 def test_ways_that_could_repeat_an_effect_are_refused() -> None:
-    """Product 1 is once-only; a mark that holds within a zone alone is no guard either."""
+    """Product 1 is non-idempotent; a mark that holds within a zone alone is no guard either."""
     it = judge()
     assert refused(it, [*lay(1, even()), face.Admit(1, 0, 3, 1.0), face.Admit(1, 1, 1, 1.0)]) == []
     assert [r.rule for r in refused(it, [face.Admit(1, 1, 2, 1.0)])] == ["twice"]
