--- a/dunlinlug/platform/front.py
+++ b/dunlinlug/platform/front.py
@@ -5,6 +5,7 @@
 """
 
 import errno
+import select
 import socket
 import traceback
 from collections.abc import Callable
@@ -84,11 +85,12 @@
             self.sock.shutdown(socket.SHUT_WR)
 
     def waiting(self) -> bool:
-        """Whether something has come that is not read yet."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
+        """Whether something has come, be it the end, that is not read yet."""
+        if self.sock.fileno() < 0:
             return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return bool(poll.poll(0))
 
     def end(self, why: str) -> None:
         self.why = self.why or why
