Probes whose worker goes or starts again meanwhile: tested

On a socket: a probe that waits for a place is not made once its worker is not listed. In the module: a result for a worker that went, or that is not out any more, says nothing; without that look the test fails.

--- a/tests/test_crossings_http.py
+++ b/tests/test_crossings_http.py
@@ -193,6 +193,32 @@
         assert taken < 100 * REPORT_MOST  # what socket buffers hold, at most
 
 
+async def test_a_worker_that_goes_while_its_probe_waits_for_a_place_is_not_dialled() -> None:
+    begun, go = trio.Event(), trio.Event()
+
+    async def slow(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        begun.set()
+        await go.wait()
+        await stream.send_all(OK)
+
+    peer = Scripted(slow)
+    async with peer.client() as client:
+        told, listed = list[face.Event](), {"first": ("127.0.0.1", client.port), "second": ("127.0.0.1", client.port)}
+        prober = Prober("/healthz", 5.0, 1, told.append, listed.__getitem__, read_report)
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(prober.probe, "first")
+                await begun.wait()
+                nursery.start_soon(prober.probe, "second")
+                await trio.testing.wait_all_tasks_blocked()
+                del listed["second"], listed["first"]  # the one that runs ends as it would have
+                go.set()
+        assert [(event.worker, event.result) for event in told if isinstance(event, face.Probed)] == [
+            ("first", "ok"), ("second", "connect_failed")]
+        assert peer.dialled == 1
+
+
 class Door:
     """A server by `http.serve`, and raw clients of it."""
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -287,3 +287,16 @@
         assert len(model.withdrawn) == replaced
         assert min(levels(orders, 0), default=1.0) <= least and min(levels(orders, 1), default=1.0) >= 0.8
         assert bool(levels(orders, 0)) == (replaced == 6)
+
+
+def test_a_probe_of_a_worker_that_went_or_started_again_meanwhile_says_nothing_of_it() -> None:
+    model = started(may_probe=True)
+    fleet(model, {n: (20, 20 if n == 4 else 0, 0.2) for n in range(9)}, 2.0)
+    assert model.withdrawn == {worker(4).id}
+    model.step(0.1, [face.Listed("changes", (worker(4, "gone"),))])
+    model.step(0.1, [face.Probed(worker(4).id, True, "ok", 0.1)])
+    assert worker(4).id in model.withdrawn
+    model.step(0.1, [face.Listed("changes", (worker(4, "ready", model.now - 1.0),))])
+    cap = model.module.health.cap[4]
+    model.step(0.1, [face.Probed(worker(4).id, False, "timeout", 0.4)])
+    assert model.module.health.cap[4] == cap == 1.0 and not model.broken
