--- a/tests/standing.py
+++ b/tests/standing.py
@@ -4,17 +4,22 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import trio
 
-from dunlinlug.standin.platform import Discovery
+from dunlinlug.standin.platform import Client, Discovery
 from tests.fleet import free_ports
 from tests.test_crossings_process import start, told
-from tests.test_platform_process import SETTINGS, Running, instance
+from tests.test_platform_process import SETTINGS, Running
 from tests.test_platform_process import _alive as alive
 
+LANES = tuple(lane["name"] for lane in SETTINGS["lanes"])
+
 
 def listed(generation: int, *instances: dict[str, Any], reset: bool = True) -> bytes:
     return json.dumps({"generation": generation, "reset": reset, "instances": instances},
@@ -122,5 +127,109 @@
     return {"generation": 1, "reset": True, "instances": list(instances)}
 
 
-__all__ = ["Agent", "Running", "answered", "chunked", "in_pieces", "instance", "known", "listed", "one_by_one",
-           "serving", "settings"]
+@dataclass
+class Stream:
+    """One joining of a proxy, and what came on it."""
+
+    port: int
+    at: float
+    first_at: float = inf  # when the first order had come whole
+    order_times: list[float] = field(default_factory=list)
+    marks: set[int] = field(default_factory=set)
+    bytes_after: int = 0  # of an order begun and never ended
+
+
+class Proxy:
+    """A proxy as the platform has them: it holds what it was ordered across its streams, dials another manager once a
+    stream ends or brings nothing in time, and is strict: what it can't use stands in `faults`."""
+
+    DIAL, FIRST = 1.0, 3.0  # seconds for a connection, and to a stream's first order
+
+    def __init__(self, number: int, zone: str, ports: list[int], chance: Random,
+                 lanes: tuple[str, ...] = LANES) -> None:
+        self.number, self.zone, self.ports, self.chance, self.lanes = number, zone, ports, chance, lanes
+        self.tables: dict[str, dict[str, float]] = {lane: {} for lane in lanes}
+        self.admits, self.shut = dict.fromkeys(lanes, 1.0), set[str]()
+        self.streams, self.faults = list[Stream](), list[str]()
+        self.joined: Stream | None = None  # the stream that stands and has brought an order
+        self.changed, self.heard = trio.Event(), list[Callable[[], None]]()
+        self.rps = 2.0
+
+    def usable(self, lane: str = "") -> dict[str, float]:
+        """Who may be picked, with weights."""
+        table = self.tables[lane or self.lanes[0]]
+        return {name: weight for name, weight in table.items() if weight and name not in self.shut}
+
+    async def until(self, seen: Callable[[], Any], within: float = 10.0) -> None:
+        """`seen` is looked at after each order and each end of a stream."""
+        with trio.fail_after(within):
+            while not seen():
+                await self.changed.wait()
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        last = 0
+        while True:
+            last = self.chance.choice([port for port in self.ports if port != last] or self.ports)
+            stream: trio.SocketStream | None = None
+            with trio.move_on_after(self.DIAL):
+                try:
+                    stream = await trio.open_tcp_stream("127.0.0.1", last)
+                except OSError:
+                    await trio.sleep(0.02)
+            if stream is not None:
+                async with stream:
+                    await self._serve(Client(stream), last)
+            self.joined = None
+            self._tell()
+
+    def _tell(self) -> None:
+        for heard in self.heard:
+            heard()
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def _serve(self, client: Client, port: int) -> None:
+        self.streams.append(stream := Stream(port, trio.current_time()))
+        parts = list[dict[str, Any]]()
+        try:
+            await client.hello(self.number, self.zone, new=not any(self.tables.values()))
+            while True:
+                order: dict[str, Any] | None = None
+                with trio.move_on_after(inf if stream.order_times else self.FIRST):
+                    order = await client.hear()
+                if order is None:
+                    stream.bytes_after = len(client.rest) + len(parts)
+                    return
+                parts.append(order)
+                if not order.get("continued"):
+                    self._take(stream, parts)
+                    marks = [part["nonce_out"] for part in parts if "nonce_out" in part]
+                    parts = []
+                    for mark in marks:
+                        await client.say(kind="ack", id=self.number, seq=mark, ms=1.0)
+        except (trio.BrokenResourceError, json.JSONDecodeError) as fault:
+            if isinstance(fault, json.JSONDecodeError):
+                self.faults.append(f"can't be read: {fault}")
+
+    def _take(self, stream: Stream, parts: list[dict[str, Any]]) -> None:
+        stream.order_times.append(trio.current_time())
+        for part in parts:
+            for mark in [part["nonce_out"]] if "nonce_out" in part else []:
+                if mark in stream.marks:
+                    self.faults.append(f"mark {mark} is asked twice")
+                stream.marks.add(mark)
+            if part.keys() - PUSH or part["@type"] != "push" or not {*part.get("routes", ())} <= {*self.lanes}:
+                self.faults.append(f"not an order: {part}")
+            for lane in part.get("routes", self.lanes):
+                table = {} if part.get("full") else self.tables[lane]
+                table.update(part.get("endpoints", ()))
+                self.tables[lane] = {name: weight for name, weight in table.items() if weight}
+                self.admits[lane] = part.get("admit", 1.0 if part.get("full") else self.admits[lane])
+            self.shut = (self.shut | {*part.get("eject", ())}) - {*part.get("restore", ())}
+        stream.first_at = min(stream.first_at, trio.current_time())
+        self.joined = stream
+        self._tell()
+
+
+PUSH = {"@type", "routes", "full", "endpoints", "admit", "policy", "eject", "restore", "nonce_out", "continued"}
--- a/tests/test_crossings_pieces.py
+++ b/tests/test_crossings_pieces.py
@@ -10,17 +10,16 @@
 from dunlinlug.standin.platform import Client
 from tests.standing import (
     Agent,
-    Running,
     answered,
     chunked,
     in_pieces,
-    instance,
     known,
     listed,
     one_by_one,
     serving,
     settings,
 )
+from tests.test_platform_process import Running, instance
 
 ZONE, LANE, WORKER = "zürich-東", "läsen-頁", "s-é€"
 NAMED = {"settings": settings((ZONE, "b"), (LANE, "book"), messagesMost=0)}
