--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -16,7 +16,8 @@
 from dunlinlug.balance import Balancer
 from dunlinlug.platform import servers
 from tests.helpers import trade, worker
-from tests.standing import LANES, Agent, Proxy, answered, chunked, known, listed, serving, settings
+from tests.roaming import LANES, Proxy
+from tests.standing import Agent, answered, chunked, known, listed, serving, settings
 from tests.test_platform_process import ZONES, instance
 
 NEWS = 300  # versions before the silence, as fast as they are asked for
