--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -14,9 +14,9 @@
 from statistics import median
 
 from dunlinlug import interface as face
-from dunlinlug.listing import Fleet
-from dunlinlug.outstanding import Outstanding, free
-from dunlinlug.seating import Seating, Table, Tops
+from dunlinlug.bookkeeping.listing import Fleet
+from dunlinlug.bookkeeping.outstanding import Outstanding, free
+from dunlinlug.bookkeeping.seating import Seating, Table, Tops
 from dunlinlug.state import Change, Wanted
 
 
--- a/dunlinlug/fleet/succession/facts.py
+++ b/dunlinlug/fleet/succession/facts.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 from dunlinlug import interface as face
-from dunlinlug import listing, outstanding, seating, state
+from dunlinlug import state
 from dunlinlug.balance import Account, Balancer, Gate, Health
+from dunlinlug.bookkeeping import listing, outstanding, seating
 from dunlinlug.fleet.succession.plain import Codec, PlainFault
 from dunlinlug.manager.laid import Laid
 
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from dunlinlug.seating import Table
+from dunlinlug.bookkeeping.seating import Table
 
 
 @dataclass(eq=False)
--- a/tests/test_seating.py
+++ b/tests/test_seating.py
@@ -5,10 +5,10 @@
 import pytest
 
 from dunlinlug import interface as face
-from dunlinlug.listing import Fleet
+from dunlinlug.bookkeeping.listing import Fleet
+from dunlinlug.bookkeeping.outstanding import Outstanding
+from dunlinlug.bookkeeping.seating import Seating, Table
 from dunlinlug.manager.laid import Bound, Laying
-from dunlinlug.outstanding import Outstanding
-from dunlinlug.seating import Seating, Table
 from tests.helpers import Model, trade, worker
 
 
