A turn visits who changed: order statistics, shares and differences are kept up

Cause: judge, _plan and _emit walked every worker, and every product's table, at every turn, whatever changed. Now evidence.py keeps sorted figures, sums and who is due at the event itself, lines.py the shares wanted and where each table differs (a table catches up on a log when it is asked), cover.py who is in no small table; listing and seating keep weights, tables in use and ends. The policy reads them; thresholds stay with it. Changed on the way: what is derived does not travel to a standby (DERIVED in the Codec) and is made anew there. Tests: rows are enlisted and tables laid by the books' own methods; the broken 'drain' sets its own shares, as those given are one record that is kept up; a direct write of history into the columns is booked, and the books are asserted as well.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -8,15 +8,18 @@
 
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
-from itertools import chain
+from functools import cache
+from itertools import chain, islice
 from math import inf
 from random import Random
 from statistics import median
 
 from dunlinlug import interface as face
+from dunlinlug.bookkeeping.evidence import Evidence, middle
+from dunlinlug.bookkeeping.lines import Lines, Shares
 from dunlinlug.bookkeeping.listing import Fleet
 from dunlinlug.bookkeeping.outstanding import Outstanding, free
-from dunlinlug.bookkeeping.seating import Seating, Table, Tops
+from dunlinlug.bookkeeping.seating import Seating, Table
 from dunlinlug.state import Change, Wanted
 
 
@@ -80,7 +83,7 @@
         return True
 
 
-class Health:
+class Health(Evidence):
     """Judges workers by what proxies met, in contrast to the others and to what is usual."""
 
     HALF, ENOUGH = 0.8, 3.0  # seconds in which evidence halves: a report cycle; voided tries to judge by
@@ -98,50 +101,25 @@
     REST, REST_MOST, AGAIN = 4.0, 16.0, 1.0  # seconds out before a trial, doubled by failures; between probes
 
     def __init__(self, uniform: Callable[[float, float], float], proof: float) -> None:
+        super().__init__(self.HALF, self.REST, self.JAMMED_SHARE, 1.0, self.ENOUGH, self.FAILING)
         self.uniform, self.proof, self.proven = uniform, proof, inf  # seconds of calm that prove it, and when
         self.calm, self.ceiling = 0.0, self.CEILING  # the median worker's pace when few void; what may go
-        self.tries, self.voided, self.took = list[float](), list[float](), list[float]()  # fading sums
-        self.heard_at, self.rest, self.due = list[float](), list[float](), list[float]()  # due: next step up
-        self.cap, self.full = list[float](), list[float]()  # most of its weight, 0 if out; what it returns to
-
-    def admit(self, i: int) -> None:
-        """A worker of which nothing was heard yet, in a row of its own or in a former one's."""
-        for column in (self.tries, self.voided, self.took, self.heard_at, self.due):
-            column[i:i + 1] = [0.0]
-        self.cap[i:i + 1], self.full[i:i + 1], self.rest[i:i + 1] = [1.0], [1.0], [self.REST]
-
-    def start(self, i: int, cap: float, due: float) -> None:
-        self.tries[i] = self.voided[i] = self.took[i] = 0.0
-        self.cap[i], self.due[i], self.full[i] = cap, due, max(self.full[i], cap)
-
-    def met(self, i: int, now: float, tries: int, voided: int, took: float) -> None:
-        fade = 0.5 ** ((now - self.heard_at[i]) / self.HALF)
-        self.heard_at[i] = now
-        self.tries[i] = self.tries[i] * fade + tries
-        self.voided[i] = self.voided[i] * fade + voided
-        self.took[i] = self.took[i] * fade + took * (tries - voided)
-
-    def part(self, i: int) -> float:
-        return self.voided[i] / self.tries[i] if self.tries[i] else 0.0
-
-    def pace(self, i: int) -> float:
-        return self.took[i] / max(self.tries[i] - self.voided[i], 0.5)
-
-    def judge(self, now: float, weight: dict[int, float]) -> None:
+
+    def judge(self, now: float, weight: dict[int, float], whole: float) -> None:
         """Step caps down on evidence, the worst worker first, and up again after a while of good evidence."""
-        whole, lost = sum(weight.values()), sum(w * (1.0 - self.cap[i]) for i, w in weight.items())
-        peers = [i for i in weight if self.cap[i] >= self.JAMMED_SHARE and self.tries[i] >= 1.0]
-        if len(peers) < 2:
+        if len(self.peers) < 2:
             return
-        parts, pace = sorted(map(self.part, peers)), median(map(self.pace, peers))
-        best, busy = parts[len(parts) // 4], median(parts) >= self.BUSY
+        best, busy = self.peers[len(self.peers) // 4], middle(self.peers) >= self.BUSY
+        lost, pace = sum(weight[i] * (1.0 - self.cap[i]) for i in sorted(self.reduced)), self.beat()
         if now < self.proven:  # Danger: voids are reported late, so quick first answers are no proof of calm
             self.proven = now + self.proof if busy else min(self.proven, now + self.proof)
         if not busy:
             self.calm += self.LEARN * (pace - self.calm) if self.calm else pace
         elif not self.calm:
             return  # Danger: a manager that began in a jam would take the jammed for silent
-        for i in sorted((i for i in weight if self.cap[i]), key=lambda i: -self.voided[i]):
+        slow = self.slower(self.LATE * pace) if pace and not busy else ()
+        moving = sorted({*self.suspects, *slow, *self.rising(now)}, key=lambda i: (-self.voided[i], i))
+        for i in moving:  # nobody else can move
             part, cap, settled = self.part(i), self.cap[i], self.tries[i] - self.voided[i]
             failing = self.voided[i] >= self.ENOUGH and part >= max(self.FAILING, self.CONTRAST * best)
             brisk = self.pace(i) <= self.PACE * self.calm
@@ -163,6 +141,8 @@
             self.cap[i], self.due[i] = cap, now + pause.get(cap, self.TRIAL)
             if cap in (0.0, 1.0):
                 self.rest[i] = self.REST if cap else min(2 * self.rest[i], self.REST_MOST)
+        for i in moving:
+            self.book(i)
 
 
 class Gate:
@@ -250,7 +230,8 @@
         self.may_probe, self.sliced, self.standing = trade.may_probe, trade.slices > 0, trade.standing
         self.home = [k for k, product in enumerate(trade.products) if product.home_only]  # their zone's alone
         self.each = 2.0 if 0 < len(self.home) < self.products else 1.0  # lines for a worker: those apart
-        self.fleet, self.account = Fleet(), Account(trade.channel)
+        self.fleet = Fleet(lambda told: sum(told) / len(told))  # a worker with no weight told has the mean
+        self.account, self.lines, self.cold = Account(trade.channel), Lines(), set[int]()
         self.health = Health(self.uniform, max(p.deadline for p in trade.products) + self.LATENESS)
         self.gate, self.admits = Gate(trade.products), trade.admits == "share"
         self.all_in = 1.0 if self.admits else 1e6  # where levels are rates, a share of 1 would shut a proxy
@@ -264,7 +245,7 @@
         self.barred: dict[int, float] = {}  # by worker, until when what was refused of it stays so
         self.kept: dict[int, float] = {}  # by product, until when levels stay after one was refused
         self.pins: dict[int, face.Pinned] = {}  # by product, an operator's word
-        self.means, self.parts = face.Trusted(Health.CEILING), dict[int, float]()  # as planned last
+        self.means, self.moved = face.Trusted(Health.CEILING), set[int]()  # workers to be planned anew
 
     # Events: what is known.
 
@@ -283,12 +264,15 @@
                 self.ask_wait = min(2 * self.ask_wait, max(self.ask_every / 4, self.ASK_WAIT))
             case face.Listed():
                 self.ask_wait = self.ASK_WAIT
-                held = self.seating.named() | self.out | self.barred.keys()
-                for i, new in self.fleet.fold(event, held):
+                for i, new in self.fleet.fold(event, lambda: (
+                        self.seating.named() | self.out | self.barred.keys())):
                     if new:
                         self.health.admit(i)
                         self.noted.pop(i, None)
                     self.health.start(i, 1.0, now)
+                for i in self.fleet.turned:
+                    self.health.enlist(i, self.fleet.ready[i])
+                    self.seating.turned(i, self.fleet.ready[i])
             case face.Joined(proxy) | face.Left(proxy):
                 self.account.forget(proxy)
                 self.seating.leave(proxy)
@@ -296,8 +280,8 @@
                     change.awaited.discard(proxy)
                 if isinstance(event, face.Joined):
                     back = all(other.zone != event.zone for other in self.seating.proxies.values())
-                    for i, zone in enumerate(self.fleet.zones if back else ()):
-                        if zone == event.zone and not self.health.cap[i]:
+                    for i, cap in enumerate(self.health.cap if back else ()):
+                        if not cap and self.fleet.zones[i] == event.zone:
                             self.health.start(i, 1.0, now)  # first proxy back: the zone is in reach again
                     self.seating.join(proxy, event.zone, event.txns_per_s)
             case face.Answered(proxy, mark, took) if mark in self.account.asked.get(proxy, ()):
@@ -322,6 +306,7 @@
             case face.Pinned(k):
                 self.pins[k] = event
             case face.Trusted():
+                self.moved.update(self.lines.parts if event != self.means else ())
                 self.means, self.health.ceiling = event, event.share
 
     def _refused(self, now: float, order: face.Order) -> None:
@@ -331,7 +316,7 @@
             case face.Share(tbl, worker) if worker in self.fleet.index:
                 self.barred[i := self.fleet.index[worker]] = now + self.RAISE
                 if tbl in tables:
-                    tables[tbl].shares.pop(i, None), tables[tbl].parts.pop(i, None)
+                    self.seating.put(tables[tbl], i, None)
             case face.Bind(proxy, products, tbl) if proxy in proxies:
                 # Danger: a joiner left bare for a raise, having come before the list, at an empty table.
                 empty = tbl in tables and not tables[tbl].shares
@@ -344,66 +329,83 @@
                 self.kept[k] = now + self.RAISE
                 if tbl in tables:
                     tables[tbl].levels[k] = tables[tbl].were.get(k, (self.all_in, self.usual_retry))
-            case face.Clear(tbl):  # Danger: a number in use would be given out again
-                tables.setdefault(tbl, Table(tbl, {}, {}, []))
+            case face.Clear(tbl) if tbl not in tables:  # Danger: a number in use would be given out again
+                self.seating.lay(Table(tbl, {}, {}, []))
 
     # The wanted state.
 
     def _plan(self, now: float) -> Wanted:
-        fleet, health = self.fleet, self.health
-        told = [w for w, ready in zip(fleet.weight, fleet.ready, strict=True) if ready and w] or [1.0]
-        weight = {i: fleet.weight[i] or sum(told) / len(told) for i, ready in enumerate(fleet.ready) if ready}
-        health.judge(now, weight)
-        parts, most = {}, {}
-        heard = [i for i in weight if health.cap[i] and health.tries[i] >= 1.0]
-        voided = median(map(health.part, heard)) if heard else 0.0
+        health, weight = self.health, self.fleet.weights
+        health.judge(now, weight, self.fleet.total())
+        for i in health.awake(now) if not self.may_probe else ():
+            health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
+        voided = middle(health.parts) if health.parts else 0.0
         storm = now < health.proven or voided >= self.STORM * self.bears
         # Word of a storm comes seconds late: no other cold worker is let in while tries fail anywhere.
-        tries, voids = (sum(column[i] for i in heard) for column in (health.tries, health.voided))
+        tries, voids = health.heard()
         rough = not self.gate.calm or voids >= self.ROUGH * tries > 0.0
-        tables = [*self.seating.in_use(), *self.current.values(), *(c.table for c in self.changes.values())]
-        inside = set[int]().union(*(table.parts for table in tables)) - self.out if rough else self.out
-        for i in weight:
-            if not health.cap[i] and health.due[i] <= now and not self.may_probe:
-                health.start(i, Health.TRIAL_SHARE, now + Health.TRIAL)
-            age, cap = now - fleet.since[i], health.cap[i]
-            part = min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
-            parts[i] = min(part, cap or Health.TRIAL_SHARE)  # ahead of its trial, which then needs no change
-            if not self.means.begin or not self.means.raises and age < self.warm_after:  # cut off
-                parts[i] = min(parts[i] if self.means.begin else part, self.parts.get(i, part))
-            # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
-            most[i] = cap if cap < Health.JAMMED_SHARE else inf
-            shut = storm or i not in inside and rough
-            most[i] = min(most[i], inf if age >= self.warm_after else 0.0 if shut else part)
+        tables = [*dict.fromkeys([*self.seating.in_use(), *self.current.values(), *(
+            c.table for c in self.changes.values())])]
+        self._share(now)
+        parts, out = self.lines.parts, health.idle.union(*(table.absent for table in tables))
+        # Danger: a cold worker pushed over, a drained one sent to. Out while any table gives it too much.
+        # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
+        most = {i: health.cap[i] for i in health.trials}
+        for i in self.cold - health.idle:
+            inside = rough and i not in self.out and any(i in table.parts for table in tables)
+            shut = storm or rough and not inside
+            most[i] = min(most.get(i, inf), 0.0 if shut else self._ramp(i, now))
+        out |= {i for i, bound in most.items() if parts[i] > bound or any(
+            table.parts.get(i, 0.0) > bound for table in tables)}
         self._advance(now)
         shares = [self.all_in] * self.products
-        if self.admits and heard:
-            self.gate.step(now, voided, median(map(health.pace, heard)))
-            shares = self.gate.levels(sum(weight[i] for i in weight.keys() - self.out) / sum(weight.values()))
+        if self.admits and health.parts:
+            self.gate.step(now, voided, middle(health.paces))
+            idle = sum(weight[i] for i in self.out if i in weight)
+            shares = self.gate.levels((self.fleet.total() - idle) / self.fleet.total())
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
-        # Danger: a cold worker pushed over, a drained one sent to. Out while any table gives it too much.
-        given = [*(table.parts for table in tables), parts]
-        easy = {i for i, part in most.items() if part == inf}
-        out = {i for held in given for i in held.keys() - easy if held[i] > most.get(i, 0.0)}
-        plain = {i: w * parts[i] for i, w in weight.items() if self.barred.get(i, 0.0) <= now}
-        wanted = [self._pinned(k, plain, parts, out) for k in range(self.products)]
+        plain = self.lines.in_order() if self.pins else self.lines.plain
+        wanted = [plain] * self.products
+        for k in self.pins:
+            wanted[k] = self._pinned(k, plain, parts, out)
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
             current = table in self.current.values()
+            if not self.home and (len(table.parts) - len(table.absent) or current and len(weight)) > len(out):
+                continue
             ready = table.parts.keys() & weight.keys() or (weight.keys() if current else set())
             if ready and ready <= out:
-                out -= {i for i in ready if most[i] < inf and health.cap[i]} or ready
+                out -= ready & most.keys() or ready
                 shares = [min(s, self.ONLY_COLD * self.all_in) if current else s for s in shares]
             for near in self.fleet.by_zone(ready).values() if self.home else ():
-                warm = [i for i in near if now - fleet.since[i] >= self.warm_after]  # one will do
+                warm = [i for i in near if now - self.fleet.since[i] >= self.warm_after]  # one will do
                 out -= {min(warm, key=lambda i: (health.part(i), i))} if warm and near <= out else set()
-        self.barred, self.parts = {i: at for i, at in self.barred.items() if at > now}, parts
+        self.barred = {i: at for i, at in self.barred.items() if at > now}
         return Wanted(wanted, parts, [(share, retry) for share in shares], out)
 
-    def _pinned(self, k: int, plain: dict[int, float], parts: dict[int, float],
-                out: set[int]) -> dict[int, float]:
+    def _ramp(self, i: int, now: float) -> float:
+        age = now - self.fleet.since[i]
+        return min(1.0, self.STEP * (1 + max(0, age // self.RAISE))) if age < self.warm_after else 1.0
+
+    def _share(self, now: float) -> None:
+        """Each worker's part of its weight, and its share, of those for whom something changed."""
+        fleet, health, parts = self.fleet, self.health, self.lines.parts
+        self.moved |= fleet.moved | health.moved
+        fleet.moved.clear(), health.moved.clear()
+        due = {*self.moved, *self.cold, *self.barred}
+        self.lines.drop(due - fleet.weights.keys())
+        self.cold = {i for i in due & fleet.weights.keys() if now - fleet.since[i] < self.warm_after}
+        for i in due & fleet.weights.keys():
+            full = self._ramp(i, now)
+            part = min(full, health.cap[i] or Health.TRIAL_SHARE)  # ahead of its trial: needs no change then
+            if not self.means.begin or not self.means.raises and i in self.cold:  # cut off
+                part = min(part if self.means.begin else full, parts.get(i, full))
+            barred = self.barred.get(i, 0.0) > now
+            self.lines.put(i, part, None if barred else fleet.weights[i] * part)
+
+    def _pinned(self, k: int, plain: Shares, parts: Shares, out: set[int]) -> Shares:
         """A product's shares as pinned: other weights, the same ramp. Danger: all its workers out."""
-        pin = self.pins.get(k, face.Pinned(k))
+        pin = self.pins[k]
         weights = {self.fleet.index[w]: weight for w, weight in pin.weights if w in self.fleet.index}
         if not weights and pin.others:
             return plain
@@ -419,7 +421,8 @@
             if change.asked_at <= self.since:
                 change.awaited.clear()  # silent proxies leave the awaited set
             if change.bound and not self.seating.lagging(k, change.old, change.table, self.since):
-                change.old.clear_at = now + self.LIFETIME if change.old not in self.current.values() else inf
+                unused = change.old not in self.current.values()
+                self.seating.end(change.old, now + self.LIFETIME if unused else inf)
                 del self.changes[k]
 
     # The difference, and the only place that orders.
@@ -427,15 +430,17 @@
     def _emit(self, now: float, wanted: Wanted) -> list[face.Order]:
         self.last_mark = free(self.last_mark, self.account.sent)
         reply, wants, health = Reply(self.account, now, self.last_mark), wanted.shares, self.health
-        for i in wanted.parts:
+        for i in sorted({*self.moved, *health.awake(now)} & wanted.parts.keys()):
             if health.cap[i] != self.noted.get(i, 1.0):
                 self.noted[i] = health.cap[i]
                 reply.orders.append(face.Note(
                     f"{self.fleet.ids[i]} to {health.cap[i]}: {health.part(i):.2f} of {health.tries[i]:.0f} "
                     f"tries voided, pace {health.pace(i):.2f} s"))
             if self.may_probe and not health.cap[i] and health.due[i] <= now and i not in self.barred:
-                health.due[i] = inf  # until the probe's result
+                health.put_off(i)  # until the probe's result
                 reply.orders.append(face.Probe(self.fleet.ids[i]))
+        self.moved.clear()
+        self.lines.shut(wanted.out)
         if not self.current:
             laid = {n: self._lay(reply, wanted, w) for n, w in {id(w): w for w in wants}.items()}
             self.current = {k: laid[id(want)] for k, want in enumerate(wants)}
@@ -447,8 +452,7 @@
             self._rescue(reply, wanted)
         self._withdraw(reply, wanted)
         self._level(reply, wanted)
-        size = [have != want and sum(abs(want.get(i, 0.0) - have.get(i, 0.0)) for i in {**have, **want})
-                for have, want in ((self.current[k].shares, want) for k, want in enumerate(wants))]
+        size = self.lines.apart(self.current.values(), wants)
         largest = sorted(range(self.products), key=lambda k: -size[k])
         everyone = self._begin(reply, wanted, [k for k in largest if size[k]], crowded)
         if self.scant and not reply.full(self.TURN):
@@ -479,14 +483,14 @@
         and who loses all workers, or more than the lines it costs, are sent a small table first."""
         fresh, few = wanted.out - self.out, 1 + self.products + self.standing
         mass = len(fresh) * len(self.seating.proxies) > 3 * self.TURN * self.account.rate
-        usable = wanted.parts.keys() - wanted.out - self.barred.keys()
+        usable = lambda i: i in wanted.parts and i not in wanted.out and i not in self.barred  # noqa: E731
         whole = self.current[0] if len(set(self.current.values())) == 1 and not self.scant else None
         bare, bears, least = list[Collection[int]](), dict[Table, float](), 0.0
-        near = self.fleet.by_zone(usable) if self.home else {}
+        near = self.fleet.by_zone(filter(usable, wanted.parts)) if self.home else {}
         for tops, members in self.seating.groups.items():
             top = [table.shares.keys() for table in dict.fromkeys(tops) if table]
-            if not top or usable and any(
-                    usable.isdisjoint(t) or mass and len(t & fresh) > few for t in top):
+            if not top or any(not any(map(usable, t)) or mass and len(t & fresh) > few for t in top) and any(
+                    map(usable, wanted.parts)):
                 bare.append(members)
             elif near:
                 bare.append([p for p in members if self.seating.far(p, near, [tops[k] for k in self.home])])
@@ -507,42 +511,45 @@
     def _dealt(self, reply: Reply, wanted: Wanted) -> dict[Table, float]:
         """By small table what its workers bear. The best workers are dealt anew, each manager shuffling for
         itself, once all small tables bear less than half of it, or one that nobody uses holds others."""
+        self.lines.in_order()
         want, used = wanted.common(), [table for table in self.small if table.users]
         best = [i for i in want if i not in wanted.out and (self.home or wanted.parts[i] == 1.0)]
         best = best or [i for i in want if i not in wanted.out] or list(want)
         zones = self.fleet.by_zone(best).values() if self.home else ()  # somebody of every zone is in each
-        stale = any(not table.parts.keys() <= set(best) for table in self.small if not table.users) or any(
+        whole, weight = set(best), sum(want[i] for i in best)
+        stale = any(not table.parts.keys() <= whole for table in self.small if not table.users) or any(
             all(near.isdisjoint(table.shares) for table in self.small) for near in zones)
-        if stale or 2 * sum(map(wanted.bears, self.small)) < sum(want[i] for i in best) or not self.small:
+        if stale or 2 * sum(self._bears(wanted, table) for table in self.small) < weight or not self.small:
             self.seating.retire(self.small, reply.now)
             best.sort(key=lambda i: (self.fleet.zones[i] if self.home else "", self.uniform(0.0, 1.0)))
             count = min([-(-len(best) // self.standing) or 1, *map(len, zones)])
             dealt = ({i: want[i] for i in best[n::count]} for n in range(count))
-            self.small = used + [self._lay(reply, wanted, part) for part in dealt]
-        return {table: wanted.bears(table) for table in self.small}
+            self.small = self.seating.deal(used + [self._lay(reply, wanted, part) for part in dealt])
+        return {table: self._bears(wanted, table) for table in self.small}
+
+    def _bears(self, wanted: Wanted, table: Table) -> float:  # a little where there is nobody
+        return self.lines.bears(table, wanted.shares[0]) or 1e-6
 
     def _tend(self, reply: Reply, wanted: Wanted) -> None:
         """Small tables follow in place. A worker that is in none joins where most is asked, and one of which
         least is asked where that is HOT times the usual."""
-        want, tables = wanted.common(), [table for table in self.small if table.users]
-        live = {i: share for i, share in want.items() if i not in wanted.out}
-        asks = {table: table.load / wanted.bears(table) for table in tables}
-        usual, asked = sum(t.load for t in tables) / (sum(live.values()) or 1.0), dict.fromkeys(live, 0.0)
-        for table in tables:
-            asked.update({i: asked[i] + asks[table] for i in table.shares.keys() & live.keys()})
-        new, least = [i for i in live if not asked[i]], sorted(live, key=lambda i: asked[i])
+        want, tables = wanted.common(), self.seating.small()
+        asks = {table: table.load / self._bears(wanted, table) for table in tables}
+        usual = sum(table.load for table in tables) / (self.lines.live(want) or 1.0)
+        new = iter([*islice(self.lines.free(self.seating.cover, want), len(tables))])
+        least = cache(lambda: self.lines.by_asked(want, asks))
+        joins = dict[Table, int | None]()  # all are chosen before a table changes
         for table in sorted(tables, key=lambda table: -asks[table]):
-            lines = {i: want[i] for i in table.shares if i in want}
-            hot = self.HOT * usual < asks[table]
-            zones = self.fleet.by_zone(lines) if self.home else {}
-            far = next((i for i in least if zones and self.fleet.zones[i] not in zones), None)
-            more = far if far is not None else new.pop(0) if new else next(
-                (i for i in least if hot and i not in lines), None)
-            if more is not None:
-                lines[more], asked[more] = want[more], asked[more] + asks[table]
-            if lines != table.shares and not reply.full(self.TURN) and not self.seating.lagging(
-                    0, table, table, self.since):
-                self._amend(reply, wanted, table, lines)
+            zones = self.fleet.by_zone(i for i in table.shares if i in want) if self.home else ()
+            more = next((i for i in least() if self.fleet.zones[i] not in zones), None) if zones else None
+            more = next(new, None) if more is None else more
+            if more is None and self.HOT * usual < asks[table]:
+                more = next((i for i in least() if i not in table.shares), None)
+            joins[table] = more
+        for table, more in joins.items():
+            if (more is not None or self.lines.differing(table, want, lacking=False)) and not reply.full(
+                    self.TURN) and not self.seating.lagging(0, table, table, self.since):
+                self._amend(reply, wanted, table, {i: want[i] for i in (*table.shares, more) if i in want})
 
     def _withdraw(self, reply: Reply, wanted: Wanted) -> None:
         """Withdrawals first, without stages, the rules' ahead. Danger: all else in a slow channel's way."""
@@ -557,8 +564,8 @@
                 self.out ^= {i}
 
     def _level(self, reply: Reply, wanted: Wanted) -> None:
-        for (k, table), groups in self.seating.by_top().items():
-            if table.levels[k] != wanted.levels[k] and reply.now >= self.kept.get(k, 0.0) and reply.spend(
+        for k, table, groups in self.seating.unlike(wanted.levels):
+            if reply.now >= self.kept.get(k, 0.0) and reply.spend(
                     [*chain.from_iterable(groups)], 1.0, 2, 4 * self.TURN):
                 table.were[k], table.levels[k] = table.levels[k], wanted.levels[k]
                 reply.orders.append(face.Admit(table.number, k, table.levels[k][1], table.levels[k][0]))
@@ -599,26 +606,22 @@
             return False
         for i in moved:
             reply.orders.append(face.Share(table.number, self.fleet.ids[i], want.get(i, 0.0)))
-            table.shares[i], table.parts[i] = want.get(i, 0.0), wanted.parts.get(i, 0.0)
-            if i not in want:
-                del table.shares[i], table.parts[i]
+            self.seating.put(table, i, want.get(i), wanted.parts.get(i, 0.0))
         self.seating.amended(table, bound, reply.mark, reply.now)
         return True
 
     def _switch(self, reply: Reply, largest: list[int], crowded: bool) -> None:
         """Ready changes become current within the window; then whoever is on another table is bound."""
         for k, change in self.changes.items():
-            older = [c for c in self.changes.values() if c.version < change.version - self.WINDOW]
-            if not change.bound and not change.awaited and not any(c.awaited for c in older):
+            if not change.bound and not change.awaited and not any(
+                    c.awaited for c in self.changes.values() if c.version < change.version - self.WINDOW):
                 change.bound, self.current[k] = True, change.table
         for joiners in (True, False)[crowded:] if not self.scant else ():
             rank, budget = (1, 2 * self.TURN) if joiners else (3, (3 if crowded else 2) * self.TURN)
             for table in dict.fromkeys(self.current[k] for k in largest):
-                others, cost = dict[Tops, tuple[int, ...]](), self._cost(table)  # what of it is to be bound
-                for tops in self.seating.groups if reply.fits(cost, rank) else ():
-                    other = tuple(k for k, now in self.current.items() if now is table is not tops[k])
-                    if other and joiners != (tops[other[0]] is not None):
-                        others[tops] = other
+                others, cost = self.seating.elsewhere(self.current, table, joiners), self._cost(table)
+                if not reply.fits(cost, rank):
+                    continue
                 for p in self.seating.in_order(self.seating.groups[tops] for tops in others):
                     proxy = self.seating.proxies[p]
                     begun = crowded and proxy.bound_at == reply.now  # with a small table in this very reply
@@ -628,10 +631,10 @@
                         break
 
     def _lay(self, reply: Reply, wanted: Wanted, shares: dict[int, float]) -> Table:
+        self.lines.in_order()
         self.last_number = number = free(self.last_number, self.seating.tables)
         parts = {i: wanted.parts.get(i, 1.0) for i in shares}
-        table = Table(number, dict(shares), parts, list(wanted.levels))
-        self.seating.tables[number] = table
+        table = self.seating.lay(Table(number, dict(shares), parts, list(wanted.levels)))
         reply.orders.extend(face.Share(number, self.fleet.ids[i], share) for i, share in table.shares.items())
         for k, (share, retry) in enumerate(table.levels):
             if (share, retry) != (self.all_in, self.usual_retry):
@@ -642,16 +645,15 @@
         """Workers whose line differs, the largest first; those taken away, who are withdrawn by now, last."""
         have = table.shares
         # Danger: a new line for one that must stay out, as nobody may have been told of its withdrawal.
-        moved = {i for i in {**have, **want} if have.get(i) != want.get(i)} - (out - have.keys())
+        moved = self.lines.differing(table, want) - (out - have.keys())
         return sorted(moved, key=lambda i: (i not in want, -abs(want.get(i, 0.0) - have.get(i, 0.0)), i))
 
     def _wake(self, reply: Reply, wanted: Wanted) -> None:
         """One timer at the next time at which something is due of itself."""
         now, busy = reply.now, self.changes or self.account.sent or wanted.out ^ self.out
         due = [now + self.BEAT if busy or self.seating.ending() else inf, self.ask_at, *self.barred.values()]
-        due += [max(self.health.due[i], now + self.BEAT) for i in wanted.parts if not self.health.cap[i]]
-        ages = (now - self.fleet.since[i] for i in wanted.parts)
-        due += [now + self.RAISE - age % self.RAISE for age in ages if age < self.warm_after]
+        due += [max(at, now + self.BEAT) for at, _ in self.health.asleep[:1]]
+        due += [now + self.RAISE - (now - self.fleet.since[i]) % self.RAISE for i in self.cold]
         self.armed = {at for at in self.armed if at > now}
         if min(due) < min(self.armed, default=inf):
             self.last_token += 1
--- a/dunlinlug/bookkeeping/seating.py
+++ b/dunlinlug/bookkeeping/seating.py
@@ -9,6 +9,8 @@
 from itertools import chain
 from math import inf
 
+from dunlinlug.bookkeeping.cover import Cover
+
 
 @dataclass(eq=False)
 class Table:
@@ -19,10 +21,20 @@
     shares: dict[int, float]
     parts: dict[int, float]
     levels: list[tuple[float, int]]  # by product the share let in, and the way of trying again
-    clear_at: float = inf
+    clear_at: float = inf  # to be changed by `Seating.end` alone
     were: dict[int, tuple[float, int]] = field(default_factory=dict)  # levels before those ordered last
     users: int = 0
     load: float = 0.0
+    place: int = 0  # in the order of laying
+    small: bool = False
+    counted: bool = False  # its rows are in the cover
+    absent: set[int] = field(default_factory=set)  # rows that it has a part for and that are not ready
+    differs: set[int] = field(default_factory=set)  # this and the next three are kept by `Lines.differing`
+    lacking: bool = False
+    changed: set[int] = field(default_factory=set)
+    seen: int = -1  # the log's length then
+    borne: float | None = None  # this and the next one are kept by `Lines.bears`
+    borne_at: int = 0
 
 
 Tops = tuple[Table | None, ...]  # by product the table that a proxy was bound to last, None where there is none
@@ -50,6 +62,9 @@
         self.proxies: dict[int, Proxy] = {}
         self.groups: dict[Tops, dict[int, None]] = {}  # joined proxies by their tops; none is empty
         self.tables: dict[int, Table] = {}  # laid and not cleared, by number
+        self.used: dict[int, Table] = {}  # those of them that a proxy may be using, by place
+        self.ends: dict[int, Table] = {}  # tables that are to be cleared, by place
+        self.laid, self.cover = 0, Cover()  # tables so far; rows of small tables in use that something is asked of
 
     def join(self, p: int, zone: str, rate: float = 0.0) -> None:
         self.joins += 1
@@ -68,9 +83,9 @@
         proxy = self.proxies[p]
         for k, entries in holds.items():
             for table, _ in proxy.holds.pop(k, ()):
-                table.users -= 1
+                self._use(table, -1)
             for table, _ in entries:
-                table.users += 1
+                self._use(table, 1)
             if entries:
                 proxy.holds[k] = entries
         tops = tuple(proxy.holds[k][-1][0] if k in proxy.holds else None for k in range(self.products))
@@ -80,9 +95,59 @@
                 for top in those:
                     if top is not None:
                         top.load += sign * proxy.rate
+                        self._count(top)
             proxy.tops = tops
             self.groups.setdefault(tops, {})[p] = None
 
+    def _use(self, table: Table, more: int) -> None:
+        table.users += more
+        if table.users:
+            self.used[table.place] = table
+        else:
+            self.used.pop(table.place, None)
+        self._count(table)
+
+    def _count(self, table: Table) -> None:
+        counted = table.small and table.users > 0 and table.load != 0.0
+        if counted != table.counted:
+            table.counted = counted
+            for i in table.shares:
+                self.cover.count(i, 1 if counted else -1)
+
+    def put(self, table: Table, i: int, share: float | None, part: float = 1.0) -> None:
+        """The one place where a line of a table laid changes; None takes it away."""
+        if table.counted and (i in table.shares) != (share is not None):
+            self.cover.count(i, -1 if share is None else 1)
+        table.changed.add(i)
+        table.borne = None
+        if share is None:
+            table.shares.pop(i, None), table.parts.pop(i, None)
+            table.absent.discard(i)
+        else:
+            table.shares[i], table.parts[i] = share, part
+
+    def deal(self, tables: list[Table]) -> list[Table]:
+        """These are the small ones from now on."""
+        for table in tables:
+            table.small = True
+        return tables
+
+    def small(self) -> list[Table]:
+        """The small ones in use."""
+        return [table for table in self.in_use() if table.small]
+
+    def lay(self, table: Table) -> Table:
+        self.laid += 1
+        table.place, self.tables[table.number] = self.laid, table
+        return table
+
+    def end(self, table: Table, at: float) -> None:
+        """It is to be cleared then; never, if inf. One that was cleared already stays so."""
+        table.clear_at = at
+        self.ends.pop(table.place, None)
+        if at < inf and self.tables.get(table.number) is table:
+            self.ends[table.place] = table
+
     def _ungroup(self, p: int, tops: Tops) -> None:
         members = self.groups[tops]
         del members[p]
@@ -119,24 +184,32 @@
     def retire(self, tables: Iterable[Table], now: float) -> None:
         """Those of them that nobody may be using are cleared next, the others are not."""
         for table in tables:
-            table.clear_at = inf if table.users else now
+            self.end(table, inf if table.users else now)
 
     def ending(self) -> bool:
-        return any(table.clear_at < inf for table in self.tables.values())
+        return bool(self.ends)
 
     def cleared(self, now: float) -> list[int]:
         """Takes away the tables whose time has come and that nobody may be using; gives their numbers."""
-        numbers = [number for number, table in self.tables.items() if table.clear_at <= now and not table.users]
-        for number in numbers:
-            del self.tables[number]
-        return numbers
+        past = [self.ends[n] for n in sorted(self.ends) if self.ends[n].clear_at <= now and not self.ends[n].users]
+        for table in past:
+            del self.tables[table.number], self.ends[table.place]
+        return [table.number for table in past]
 
     def named(self) -> set[int]:
         """Workers that a table laid has a line for, or for which one had a part."""
         return set().union(*(table.parts for table in self.tables.values()))
 
     def in_use(self) -> list[Table]:
-        return [table for table in self.tables.values() if table.users]
+        return [self.used[place] for place in sorted(self.used)]
+
+    def turned(self, i: int, ready: bool) -> None:
+        """A worker is ready now, or is so no more."""
+        for table in self.tables.values():
+            if ready or i not in table.parts:
+                table.absent.discard(i)
+            else:
+                table.absent.add(i)
 
     def lagging(self, k: int, old: Table, table: Table, since: float) -> bool:
         """Whether a proxy that was written to after `since` may not use this table of the product, and no other; where
@@ -152,19 +225,31 @@
         """By worker the groups with a line for it, or that may have one as they have no table yet."""
         users: dict[int, list[dict[int, None]]] = {i: [] for i in workers}
         for tops, members in self.groups.items() if workers else ():
-            named = chain(*(table.shares for table in set(tops) if table))
-            for i in workers if None in tops else workers.intersection(named):
-                users[i].append(members)
+            tables = dict.fromkeys(tops)
+            for i in workers:
+                if None in tables or any(table is not None and i in table.shares for table in tables):
+                    users[i].append(members)
         return users
 
-    def by_top(self) -> dict[tuple[int, Table], list[dict[int, None]]]:
-        """By product and table the groups that are bound to it."""
+    def unlike(self, levels: list[tuple[float, int]]) -> list[tuple[int, Table, list[dict[int, None]]]]:
+        """Products and tables whose level is another, with the groups that are bound to them."""
         users: dict[tuple[int, Table], list[dict[int, None]]] = {}
-        for tops, members in self.groups.items():
+        other = {table for table in self.used.values() if table.levels != levels}
+        for tops, members in self.groups.items() if other else ():
             for k, table in enumerate(tops):
-                if table is not None:
+                if table in other and table is not None and table.levels[k] != levels[k]:
                     users.setdefault((k, table), []).append(members)
-        return users
+        return [(k, table, groups) for (k, table), groups in users.items()]
+
+    def elsewhere(self, current: Mapping[int, Table], table: Table, joiners: bool) -> dict[Tops, tuple[int, ...]]:
+        """Groups that are not bound to this current table for all its products, and what of it they lack: those that
+        have no table for the first of that, or those that have another."""
+        here, others = tuple(current.values()), dict[Tops, tuple[int, ...]]()
+        for tops in self.groups:
+            other = tuple(k for k, now in current.items() if now is table is not tops[k]) if tops != here else ()
+            if other and joiners == (tops[other[0]] is None):
+                others[tops] = other
+        return others
 
     def far(self, p: int, near: Mapping[str, set[int]], tables: Iterable[Table | None]) -> bool:
         """Whether a table among these has nobody of the proxy's zone, though by `near` (by zone) there is somebody."""
--- a/dunlinlug/fleet/succession/facts.py
+++ b/dunlinlug/fleet/succession/facts.py
@@ -12,11 +12,11 @@
 from dunlinlug import interface as face
 from dunlinlug import state
 from dunlinlug.balance import Account, Balancer, Gate, Health
-from dunlinlug.bookkeeping import listing, outstanding, seating
+from dunlinlug.bookkeeping import cover, lines, listing, outstanding, seating
 from dunlinlug.fleet.succession.plain import Codec, PlainFault
 from dunlinlug.manager.laid import Laid
 
-OWN = ("fleet", "account", "health", "gate", "seating")  # the module's parts, which a fresh module has already
+OWN = ("fleet", "account", "health", "gate", "seating", "lines")  # the module's parts, which a fresh module has already
 
 
 @dataclass
@@ -49,7 +49,7 @@
 
 EVENTS = [kind for kind in vars(face).values() if isinstance(kind, type) and kind.__module__ == face.__name__]
 CODEC = Codec(Batch, Standing, Laid, Account, Gate, Health, outstanding.Stretch, listing.Fleet, state.Change,
-              seating.Seating, seating.Table, seating.Proxy, *EVENTS)
+              seating.Seating, seating.Table, seating.Proxy, lines.Lines, cover.Cover, *EVENTS)
 
 
 def listed(fleet: listing.Fleet) -> list[face.Worker]:
@@ -98,5 +98,7 @@
             vars(getattr(module, key)).update(vars(value))
         elif key != "chance":
             setattr(module, key, value)
+    module.health.restore()
+    module.lines.restore()
     module.uniform.__self__.setstate(found["chance"])  # type: ignore[attr-defined]
     return module, standing
--- a/dunlinlug/fleet/succession/plain.py
+++ b/dunlinlug/fleet/succession/plain.py
@@ -15,7 +15,8 @@
 
 
 class Codec:
-    """For these classes alone; fields that hold something callable are left out."""
+    """For these classes alone; fields that hold something callable are left out, and those that a class names as
+    `DERIVED`: the reader makes them anew."""
 
     def __init__(self, *classes: type) -> None:
         self.classes = {kind.__name__: kind for kind in classes}
@@ -51,7 +52,8 @@
         if id(value) in met:
             return ["r", met[id(value)]]
         met[id(value)] = len(met)
-        fields = {key: part for key, part in vars(value).items() if not callable(part)}
+        derived = getattr(value, "DERIVED", ())
+        fields = {key: part for key, part in vars(value).items() if not callable(part) and key not in derived}
         return ["o", met[id(value)], name, *(self._plain(part, met) for pair in fields.items() for part in pair)]
 
     def _value(self, plain: Any, met: dict[int, Any]) -> Any:
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -30,11 +30,6 @@
 
     def common(self) -> dict[int, float]:
         """Lines for all products, where they need not be the same: the first one's for workers of all."""
-        first, *others = self.shares
-        same = {i: share for i, share in first.items() if all(want is first or i in want for want in others)}
+        first, *others = {id(want): want for want in self.shares}.values()
+        same = {i: first[i] for i in first if all(i in want for want in others)} if others else first
         return same or max(self.shares, key=len)
-
-    def bears(self, table: Table) -> float:
-        """What a table's workers take, in weight; a little where there is nobody."""
-        want = self.shares[0]
-        return sum(want.get(i, 0.0) for i in table.shares if i not in self.out) or 1e-6
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -91,8 +91,8 @@
 @pytest.mark.parametrize(("rule", "change"), [
     ("bare", lambda module, wanted: wanted.out.update(range(len(module.fleet.ids)))),
     ("an effect twice", lambda module, wanted: setattr(wanted, "levels", [(1.0, 2)] * len(wanted.levels))),
-    ("drain", lambda module, wanted: (wanted.out.clear(), wanted.shares[0].update(
-        {i: 1.0 for i in range(len(module.fleet.ids))}))),
+    ("drain", lambda module, wanted: (wanted.out.clear(), setattr(wanted, "shares", [
+        {**wanted.shares[0], **{i: 1.0 for i in range(len(module.fleet.ids))}}] * len(wanted.shares)))),
 ])
 def test_the_model_sees_a_broken_rule(rule: str, change: object, monkeypatch: pytest.MonkeyPatch) -> None:
     assert rule in broken_by(monkeypatch, change)
--- a/tests/test_seating.py
+++ b/tests/test_seating.py
@@ -1,6 +1,7 @@
 """The bookkeeping beneath the decisions, each part beside a slow, plain model on generated inputs."""
 
 from random import Random
+from statistics import fmean
 
 import pytest
 
@@ -24,14 +25,15 @@
     assert sum(map(len, seating.groups.values())) == len(seating.proxies) and all(seating.groups.values())
     for tbl in seating.tables.values():
         entries = [t for proxy in seating.proxies.values() for held in proxy.holds.values() for t, _ in held]
-        assert tbl.users == entries.count(tbl)
+        assert tbl.users == entries.count(tbl) and (tbl in seating.in_use()) == (tbl.users > 0)
         assert sorted(seating.bound(tbl)) == sorted(p for p, x in seating.proxies.items() if tbl in x.tops)
 
 
 @pytest.mark.parametrize("seed", range(6))
 def test_groups_and_uses_are_what_counting_anew_gives(seed: int) -> None:
     chance, seating = Random(seed), Seating(2)
-    seating.tables = {n: table(n) for n in range(5)}
+    for n in range(5):
+        seating.lay(table(n))
     marks: dict[int, list[int]] = {}
     for mark in range(1, 400):
         p = chance.randrange(12)
@@ -68,16 +70,18 @@
 
 def test_a_table_is_cleared_at_its_time_and_only_once_nobody_uses_it() -> None:
     seating = Seating(1)
-    used, unused, standing = (seating.tables.setdefault(n, table(n)) for n in (1, 2, 3))
+    used, unused, standing = (seating.lay(table(n)) for n in (1, 2, 3))
     seating.join(7, "a")
     seating.bind(7, (0,), used, 1, 0.0)
     seating.retire((used, unused), 5.0)
     assert seating.ending() and not seating.cleared(4.9)
     assert seating.cleared(5.0) == [2] and not seating.ending() and used.clear_at > 1e9, "used: it stays"
-    used.clear_at = 6.0
+    seating.end(used, 6.0)
     assert not seating.cleared(6.0)
     seating.leave(7)
     assert seating.cleared(6.0) == [1] and list(seating.tables.values()) == [standing]
+    seating.end(used, 7.0)
+    assert not seating.ending() and not seating.cleared(8.0), "one cleared stays so"
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -191,16 +195,16 @@
 
 def test_rows_of_workers_that_went_are_used_again() -> None:
     """A day of replacements, a worker at a time: rows stay level, nobody loses a row that is in use."""
-    fleet, chance = Fleet(), Random(3)
+    fleet, chance = Fleet(fmean), Random(3)
     present = [worker(n) for n in range(20)]
-    fleet.fold(face.Listed("whole", tuple(present)), set())
+    fleet.fold(face.Listed("whole", tuple(present)), set)
     for n in range(20, 2000):
         gone = present.pop(chance.randrange(20))
         present.append(worker(n))
-        held = {fleet.index[gone.id]}  # still in a table
+        held = {fleet.index[gone.id]}.copy  # still in a table
         fleet.fold(face.Listed("changes", (face.Worker(gone.id, gone.zone, "", 0, "gone", 1.0, None),)), held)
         fleet.fold(face.Listed("changes", (present[-1],)), held)
-        assert fleet.index[gone.id] in held
+        assert fleet.index[gone.id] in held()
         assert all(fleet.ids[fleet.index[w.id]] == w.id and fleet.ready[fleet.index[w.id]] for w in present)
     assert len(fleet.ids) <= 2 * 20 + 2 and len(fleet.index) == len(fleet.ids)
 
@@ -213,9 +217,11 @@
     for n in range(4, 40):
         row = model.module.fleet.index[worker(n - 4).id]
         health.cap[row], health.full[row], health.rest[row], health.tries[row] = 0.0, 0.75, 16.0, 9.0
+        health.book(row)
         model.step(0.1, [face.Listed("changes", (worker(n - 4, "gone"), worker(n)))])
         row = model.module.fleet.index[worker(n).id]
         assert (health.cap[row], health.full[row], health.rest[row], health.tries[row]) == (1.0, 1.0, 4.0, 0.0)
+        assert not {row} & (health.idle | health.reduced | health.suspects | health.trials)
         for _ in range(30):
             model.step(0.1, [])
     columns = (health.tries, health.voided, health.took, health.heard_at, health.rest, health.due, health.cap,
