bench.crowd plays any size with the former and the present module, by turns

Cause: the cost of a turn was measured at 200 workers and 2 products alone, deciding and rendering together.

Change: `--workers`, `--products`, `--proxies`, `--table` (the seven sizes to aim at), `--module former|present|both` and `--runs`; deciding is told apart from rendering, with the mean and the longest turn. Without arguments it prints what it did.

--- a/bench/crowd.py
+++ b/bench/crowd.py
@@ -1,11 +1,16 @@
 """Very many proxies at one manager: CPU and memory by their number, and the dearest stretch.
 
     python -m bench.crowd [--profile 1600]
+    python -m bench.crowd --workers 5000 --products 2 --proxies 20 [--module former|present|both] [--runs 3]
+    python -m bench.crowd --table [--module both]
 
 All proxies join within half a second, as when seven in ten managers die at once; then reports and answers come at the
 agreed rate, an eighth of 200 workers is bad, and from the tenth second on thirty are replaced. Module and the
 platform's orders, no socket: what is measured is deciding and rendering. Each size runs in a process of its own; times
 are seconds of CPU, memory is what the process holds above an empty manager's.
+
+With a size, or the table of sizes, deciding is told apart from rendering; `former` is the text of `tests/former`, and
+`both` plays each size with the one and with the other, by turns.
 """
 
 import argparse
@@ -14,17 +19,24 @@
 import multiprocessing
 import pstats
 import resource
+import sys
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
+from statistics import mean
 from typing import Any
 
 from bench.loop import CYCLE, TRANSIT, Fleet
+from dunlinlug import balance
 from dunlinlug import interface as face
 from dunlinlug.manager.channel import Channel
 from dunlinlug.platform.orders import Orders
+from tests.former import balance as former
 
-PROXIES, WORKERS = (100, 200, 400, 800, 1600), 200
+PROXIES, WORKERS, PRODUCTS = (100, 200, 400, 800, 1600), 200, 2
+# What the table plays: workers, products, proxies.
+TABLE = ((200, 2, 20), (200, 20, 20), (200, 270, 20), (1000, 2, 20), (5000, 2, 20), (5000, 2, 200), (200, 2, 1600))
+MODULES = {"former": former.Balancer, "present": balance.Balancer}
 PACE, HEARD = 1300.0, 80.0  # lines a second that a manager's channel sends, and that it hears
 JOINED, REPLACED, END = 1.0, 10.0, 18.0  # seconds: first join, first replacement, end
 
@@ -36,11 +48,14 @@
     events: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     seconds: dict[int, float] = field(default_factory=lambda: defaultdict(float))
     longest: float = 0.0
+    deciding: dict[int, float] = field(default_factory=lambda: defaultdict(float))  # of `seconds`, by second
+    turns: list[float] = field(default_factory=list)  # deciding alone, turn by turn
 
 
 class Crowd(Fleet):
-    def __init__(self, proxies: int, workers: int) -> None:
-        super().__init__((2, proxies, workers, PACE, 4.0, 30, HEARD))
+    def __init__(self, proxies: int, workers: int, products: int = PRODUCTS, module: str = "present") -> None:
+        super().__init__((products, proxies, workers, PACE, 4.0, 30, HEARD))
+        self.module = MODULES[module](self.trade)
         self.orders = Orders(tuple(p.name for p in self.trade.products), 1, 4.0)
         self.channel = Channel(PACE, 1e12, 0, 10.0)
         self.told, self.measured = dict[int, float](), Spent()
@@ -78,7 +93,9 @@
     def turn(self, now: float, events: list[face.Event]) -> None:
         began = time.process_time()
         self.orders.hear(events)
+        deciding = time.process_time()
         reply = self.module.decide(now, events)
+        decided = time.process_time()
         parcels = self.orders.obey(reply, now)
         took = time.process_time() - began
         for order in reply:
@@ -93,6 +110,8 @@
             self.measured.events[kinds.pop()].append(took / len(events))
         self.measured.seconds[int(now)] += took
         self.measured.longest = max(self.measured.longest, took)
+        self.measured.deciding[int(now)] += decided - deciding
+        self.measured.turns.append(decided - deciding)
 
 
 def held() -> float:
@@ -100,35 +119,72 @@
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
 
-def measure(proxies: int) -> dict[str, Any]:
+def measure(proxies: int, workers: int = WORKERS, products: int = PRODUCTS, module: str = "present") -> dict[str, Any]:
+    """Seconds of CPU, ms for a turn or an event, MiB."""
     before = held()
-    crowd = Crowd(proxies, WORKERS)
+    crowd = Crowd(proxies, workers, products, module)
     crowd.run(END)
     spent = crowd.measured
-    mean = {kind: 1000 * sum(values) / len(values) for kind, values in spent.events.items()}
+    each = {kind: 1000 * mean(values) for kind, values in spent.events.items()}
     return {"joins": spent.seconds[1], "worst": max(spent.seconds.values()),
             "usual": sum(spent.seconds[n] for n in range(5, 10)) / 5, "longest": 1000 * spent.longest,
-            "change": sum(spent.seconds[n] for n in range(10, 18)) / 8, "memory": held() - before, **mean}
-
-
-def main() -> None:
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--profile", type=int)
-    proxies = parser.parse_args().profile
-    if proxies:
-        profile, crowd = cProfile.Profile(), Crowd(proxies, WORKERS)
-        profile.runcall(crowd.run, END)
-        pstats.Stats(profile).sort_stats("tottime").print_stats(20)
-        return
+            "change": sum(spent.seconds[n] for n in range(10, 18)) / 8, "memory": held() - before, **each,
+            "decide usual": sum(spent.deciding[n] for n in range(5, 10)) / 5,
+            "decide worst": max(spent.deciding.values()), "decide turn": 1000 * mean(spent.turns),
+            "decide longest": 1000 * max(spent.turns), "turns": len(spent.turns)}
+
+
+def apart(*size: Any) -> dict[str, Any]:
+    """Measured in a process of its own."""
+    with multiprocessing.get_context("spawn").Pool(1) as pool:
+        return defaultdict(float, pool.apply(measure, size))
+
+
+def compare(sizes: list[tuple[int, int, int]], modules: list[str], runs: int) -> None:
+    """Deciding and rendering apart, a line for each run."""
+    print("workers, products, proxies, module | deciding alone: a usual second, the dearest in s; a turn, the longest "
+          "in ms; turns | rendering, a usual second in s | memory in MiB")
+    for workers, products, proxies in sizes:
+        for _ in range(runs):
+            for module in modules:
+                found = apart(proxies, workers, products, module)
+                print(f"{workers:5d} {products:3d} {proxies:4d} {module:7s} | {found['decide usual']:.3f} "
+                      f"{found['decide worst']:.3f} {found['decide turn']:.2f} {found['decide longest']:.1f} "
+                      f"{found['turns']} | {found['usual'] - found['decide usual']:.3f} | {found['memory']:.1f}",
+                      flush=True)
+
+
+def crowds() -> None:
+    """By the number of proxies, deciding and rendering together."""
     print(f"{WORKERS} workers, CPU: a second of joins, the worst one, a usual one, one of replacements in s; the "
           "longest turn, a join, a report, an answer in ms; memory in MiB")
     for size in PROXIES:
-        with multiprocessing.get_context("spawn").Pool(1) as pool:
-            found = defaultdict(float, pool.apply(measure, (size,)))
+        found = apart(size)
         spent = " ".join(f"{found[name]:.2f}" for name in ("joins", "worst", "usual", "change"))
         print(f"{size:5d} proxies: {spent}; {found['longest']:.1f} {found['Joined']:.2f} {found['Met']:.2f} "
               f"{found['Answered']:.2f}; {found['memory']:.1f}", flush=True)
 
 
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--profile", type=int, metavar="PROXIES", help="where the time goes, at this many proxies")
+    parser.add_argument("--workers", type=int, default=WORKERS)
+    parser.add_argument("--products", type=int, default=PRODUCTS)
+    parser.add_argument("--proxies", type=int, default=20)
+    parser.add_argument("--module", choices=[*MODULES, "both"], default="present")
+    parser.add_argument("--runs", type=int, default=1, help="times that each size is played")
+    parser.add_argument("--table", action="store_true", help=f"workers, products, proxies: {TABLE}")
+    args = parser.parse_args()
+    modules = list(MODULES) if args.module == "both" else [args.module]
+    if args.profile:
+        profile, crowd = cProfile.Profile(), Crowd(args.profile, args.workers, args.products, modules[0])
+        profile.runcall(crowd.run, END)
+        pstats.Stats(profile).sort_stats("tottime").print_stats(20)
+    elif sys.argv[1:]:
+        compare(list(TABLE) if args.table else [(args.workers, args.products, args.proxies)], modules, args.runs)
+    else:
+        crowds()
+
+
 if __name__ == "__main__":
     main()
