Many products and small tables: what is alike is looked at once

Cause: with 270 products an answer rebuilt all of a proxy's tops 270 times, each change asked all proxies by product; small tables were drawn up anew ahead of the question whether the channel lets a line go. Now products that held the same go on as one list, lateness is asked of many changes at once, the proxies bound to a table are kept by table, levels are one object each, the channel is asked first.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -19,7 +19,7 @@
 from dunlinlug.bookkeeping.lines import Lines, Shares
 from dunlinlug.bookkeeping.listing import Fleet
 from dunlinlug.bookkeeping.outstanding import Outstanding, free
-from dunlinlug.bookkeeping.seating import Seating, Table
+from dunlinlug.bookkeeping.seating import Seating, Table, level
 from dunlinlug.state import Change, Wanted
 
 
@@ -68,14 +68,17 @@
         most = self.account.channel.waiting_most * (1.0 - Account.KEPT_BACK[rank])
         return self.account.waits + self.spent + lines <= most
 
-    def spend(self, who: Collection[int], each: float, rank: int, budget: float = inf) -> bool:
-        """Take so many lines for each of these proxies, if the channel and the limits allow it."""
+    def price(self, who: Collection[int], each: float, rank: int, budget: float = inf) -> float | None:
+        """What so many lines for each of these proxies take; None if channel or limits forbid them."""
         if self.full(budget) or not self.fits(each * len(who), rank):
-            return False
+            return None
         fresh = [p for p in who if p not in self.lines]
         more = each * len(who) + self.head * len(fresh)
-        if fresh and self.full(budget, fresh[0]) or not self.fits(more, rank) or any(
-                self.account.scarce(p, self.now, rank) for p in fresh):
+        return None if fresh and self.full(budget, fresh[0]) or not self.fits(more, rank) or any(
+            self.account.scarce(p, self.now, rank) for p in fresh) else more
+
+    def spend(self, who: Collection[int], each: float, rank: int, budget: float = inf) -> bool:
+        if (more := self.price(who, each, rank, budget)) is None:
             return False
         for p in who:
             self.lines[p] = self.lines.get(p, self.head) + each
@@ -200,7 +203,7 @@
         """Each product's share let in, in steps of a tenth so that small moves cost no orders."""
         work = self.work()
         rest, shares = (1.0 - min(self.share, self.SPARE * serving)) * sum(work), [1.0] * len(work)
-        for k in self.order:
+        for k in self.order if rest else ():
             refused = min(rest, (1.0 - self.FLOOR) * work[k])
             rest -= refused
             shares[k] = max(round(10 * (1.0 - refused / work[k])) / 10, self.FLOOR)
@@ -264,15 +267,13 @@
                 self.ask_wait = min(2 * self.ask_wait, max(self.ask_every / 4, self.ASK_WAIT))
             case face.Listed():
                 self.ask_wait = self.ASK_WAIT
-                for i, new in self.fleet.fold(event, lambda: (
-                        self.seating.named() | self.out | self.barred.keys())):
+                for i, new in self.fleet.fold(event, lambda: self.seating.named(self.out, self.barred)):
                     if new:
                         self.health.admit(i)
                         self.noted.pop(i, None)
                     self.health.start(i, 1.0, now)
-                for i in self.fleet.turned:
-                    self.health.enlist(i, self.fleet.ready[i])
-                    self.seating.turned(i, self.fleet.ready[i])
+                self.health.enlist(self.fleet.turned, self.fleet.ready)
+                self.seating.enlist(self.fleet.turned, self.fleet.ready)
             case face.Joined(proxy) | face.Left(proxy):
                 self.account.forget(proxy)
                 self.seating.leave(proxy)
@@ -352,8 +353,7 @@
         # Danger: a storm of repeats brings cold workers many times their share, more so to a new manager.
         most = {i: health.cap[i] for i in health.trials}
         for i in self.cold - health.idle:
-            inside = rough and i not in self.out and any(i in table.parts for table in tables)
-            shut = storm or rough and not inside
+            shut = storm or rough and (i in self.out or not any(i in table.parts for table in tables))
             most[i] = min(most.get(i, inf), 0.0 if shut else self._ramp(i, now))
         out |= {i for i, bound in most.items() if parts[i] > bound or any(
             table.parts.get(i, 0.0) > bound for table in tables)}
@@ -369,8 +369,9 @@
         wanted = [plain] * self.products
         for k in self.pins:
             wanted[k] = self._pinned(k, plain, parts, out)
+        standing = set(self.current.values())
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
-            current = table in self.current.values()
+            current = table in standing
             if not self.home and (len(table.parts) - len(table.absent) or current and len(weight)) > len(out):
                 continue
             ready = table.parts.keys() & weight.keys() or (weight.keys() if current else set())
@@ -381,7 +382,7 @@
                 warm = [i for i in near if now - self.fleet.since[i] >= self.warm_after]  # one will do
                 out -= {min(warm, key=lambda i: (health.part(i), i))} if warm and near <= out else set()
         self.barred = {i: at for i, at in self.barred.items() if at > now}
-        return Wanted(wanted, parts, [(share, retry) for share in shares], out)
+        return Wanted(wanted, parts, [level(share, retry) for share in shares], out)
 
     def _ramp(self, i: int, now: float) -> float:
         age = now - self.fleet.since[i]
@@ -390,10 +391,9 @@
     def _share(self, now: float) -> None:
         """Each worker's part of its weight, and its share, of those for whom something changed."""
         fleet, health, parts = self.fleet, self.health, self.lines.parts
-        self.moved |= fleet.moved | health.moved
-        fleet.moved.clear(), health.moved.clear()
+        self.moved |= fleet.news() | health.news()
         due = {*self.moved, *self.cold, *self.barred}
-        self.lines.drop(due - fleet.weights.keys())
+        self.lines.drop(i for i in due if i not in fleet.weights)
         self.cold = {i for i in due & fleet.weights.keys() if now - fleet.since[i] < self.warm_after}
         for i in due & fleet.weights.keys():
             full = self._ramp(i, now)
@@ -417,10 +417,11 @@
         """Move each change on as far as answers and timers let it."""
         patience = self.SILENT + self.account.waits / self.account.rate + 2 * self.account.channel.transit
         self.since = now - patience
+        lag = self.seating.late({k: (c.old, c.table) for k, c in self.changes.items() if c.bound}, self.since)
         for k, change in list(self.changes.items()):
             if change.asked_at <= self.since:
                 change.awaited.clear()  # silent proxies leave the awaited set
-            if change.bound and not self.seating.lagging(k, change.old, change.table, self.since):
+            if change.bound and k not in lag:
                 unused = change.old not in self.current.values()
                 self.seating.end(change.old, now + self.LIFETIME if unused else inf)
                 del self.changes[k]
@@ -447,7 +448,7 @@
         lines = (max(map(len, wants)) + 2.0) * len(self.seating.proxies)
         crowded = self.products * lines > self.TURN * self.account.rate
         # Departure: where one table to all takes longer than a ramp, small ones stay, and are kept up.
-        self.scant = crowded and len({*map(id, wants)}) == 1 and lines > self.warm_after * self.account.rate
+        self.scant = crowded and not wanted.mixed() and lines > self.warm_after * self.account.rate
         if crowded:
             self._rescue(reply, wanted)
         self._withdraw(reply, wanted)
@@ -516,25 +517,22 @@
         best = [i for i in want if i not in wanted.out and (self.home or wanted.parts[i] == 1.0)]
         best = best or [i for i in want if i not in wanted.out] or list(want)
         zones = self.fleet.by_zone(best).values() if self.home else ()  # somebody of every zone is in each
-        whole, weight = set(best), sum(want[i] for i in best)
+        whole, bears = set(best), self.lines.bearing(self.small, wanted.shares[0])
         stale = any(not table.parts.keys() <= whole for table in self.small if not table.users) or any(
             all(near.isdisjoint(table.shares) for table in self.small) for near in zones)
-        if stale or 2 * sum(self._bears(wanted, table) for table in self.small) < weight or not self.small:
+        if stale or 2 * sum(bears.values()) < sum(want[i] for i in best) or not self.small:
             self.seating.retire(self.small, reply.now)
             best.sort(key=lambda i: (self.fleet.zones[i] if self.home else "", self.uniform(0.0, 1.0)))
             count = min([-(-len(best) // self.standing) or 1, *map(len, zones)])
             dealt = ({i: want[i] for i in best[n::count]} for n in range(count))
             self.small = self.seating.deal(used + [self._lay(reply, wanted, part) for part in dealt])
-        return {table: self._bears(wanted, table) for table in self.small}
-
-    def _bears(self, wanted: Wanted, table: Table) -> float:  # a little where there is nobody
-        return self.lines.bears(table, wanted.shares[0]) or 1e-6
+        return self.lines.bearing(self.small, wanted.shares[0])
 
     def _tend(self, reply: Reply, wanted: Wanted) -> None:
         """Small tables follow in place. A worker that is in none joins where most is asked, and one of which
         least is asked where that is HOT times the usual."""
         want, tables = wanted.common(), self.seating.small()
-        asks = {table: table.load / self._bears(wanted, table) for table in tables}
+        asks = {table: table.load / bears for table, bears in self.lines.bearing(tables, want).items()}
         usual = sum(table.load for table in tables) / (self.lines.live(want) or 1.0)
         new = iter([*islice(self.lines.free(self.seating.cover, want), len(tables))])
         least = cache(lambda: self.lines.by_asked(want, asks))
@@ -547,8 +545,9 @@
                 more = next((i for i in least() if i not in table.shares), None)
             joins[table] = more
         for table, more in joins.items():
-            if (more is not None or self.lines.differing(table, want, lacking=False)) and not reply.full(
-                    self.TURN) and not self.seating.lagging(0, table, table, self.since):
+            if (more is not None or self.lines.differing(table, want, lacking=False)) and reply.price(
+                    self.seating.bound(table), self.each, 3, self.TURN) is not None and not (
+                    self.seating.lagging(0, table, table, self.since)):
                 self._amend(reply, wanted, table, {i: want[i] for i in (*table.shares, more) if i in want})
 
     def _withdraw(self, reply: Reply, wanted: Wanted) -> None:
@@ -579,8 +578,8 @@
                 groups.setdefault(id(wants[k]) if crowded else k, []).append(k)
         for group in groups.values():
             olds, table, want = {k: self.current[k] for k in group}, self.current[group[0]], wants[group[0]]
-            apart = any(held is table and wants[k] is not want for k, held in self.current.items())
-            if crowded and len(set(olds.values())) == 1 and not apart:
+            torn = wanted.mixed() and any(wants[k] is not want for k, t in self.current.items() if t is table)
+            if crowded and len(set(olds.values())) == 1 and not torn:
                 if not self._amend(reply, wanted, table, want):
                     continue
             elif reply.spend(self.seating.proxies, 0.0, 3, self.TURN):
@@ -619,9 +618,8 @@
         for joiners in (True, False)[crowded:] if not self.scant else ():
             rank, budget = (1, 2 * self.TURN) if joiners else (3, (3 if crowded else 2) * self.TURN)
             for table in dict.fromkeys(self.current[k] for k in largest):
-                others, cost = self.seating.elsewhere(self.current, table, joiners), self._cost(table)
-                if not reply.fits(cost, rank):
-                    continue
+                cost = self._cost(table)
+                others = self.seating.others(self.current, table, joiners) if reply.fits(cost, rank) else {}
                 for p in self.seating.in_order(self.seating.groups[tops] for tops in others):
                     proxy = self.seating.proxies[p]
                     begun = crowded and proxy.bound_at == reply.now  # with a small table in this very reply
--- a/dunlinlug/bookkeeping/evidence.py
+++ b/dunlinlug/bookkeeping/evidence.py
@@ -6,6 +6,7 @@
 """
 
 from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterable
 from math import inf
 from typing import Any
 
@@ -38,8 +39,7 @@
         self.tries, self.voided, self.took = list[float](), list[float](), list[float]()  # fading sums
         self.heard_at, self.rest, self.due = list[float](), list[float](), list[float]()  # due: next step up
         self.cap, self.full = list[float](), list[float]()  # most of its weight, 0 if out; what it returns to
-        self.listed = set[int]()
-        self.moved = set[int]()  # rows with another cap, or listed otherwise, since this was emptied
+        self.listed, self.moved = set[int](), set[int]()
         self.parts, self.paces, self.peers = list[float](), list[float](), list[float]()
         self.rhythm, self.asleep, self.climbing = list[Timed](), list[Timed](), list[Timed]()
         self.suspects, self.reduced, self.trials, self.idle = (set[int]() for _ in range(4))
@@ -53,9 +53,16 @@
         self.cap[i:i + 1], self.full[i:i + 1], self.rest[i:i + 1] = [1.0], [1.0], [self.first]
         self.book(i)
 
-    def enlist(self, i: int, listed: bool) -> None:
-        (self.listed.add if listed else self.listed.discard)(i)
-        self.book(i)
+    def enlist(self, rows: Iterable[int], ready: list[bool]) -> None:
+        """Rows that are listed as ready now, or are so no more, by `ready`."""
+        for i in rows:
+            (self.listed.add if ready[i] else self.listed.discard)(i)
+            self.book(i)
+
+    def news(self) -> set[int]:
+        """Rows with another cap, or listed otherwise, since this was asked."""
+        moved, self.moved = self.moved, set()
+        return moved
 
     def start(self, i: int, cap: float, due: float) -> None:
         """From here on with nothing heard."""
--- a/dunlinlug/bookkeeping/lines.py
+++ b/dunlinlug/bookkeeping/lines.py
@@ -17,6 +17,7 @@
     """By row of each ready worker `parts`, its part of its weight, and `plain`, its share, where it has one."""
 
     TIE = 1e-9  # part of a sum by which two differ at least, if it is not by rounding
+    LITTLE = 1e-6  # divides
     SHORT = 1000  # entries of the log that are kept in any case
 
     DERIVED = ("mass",)
@@ -94,16 +95,19 @@
         return table.differs
 
     def bears(self, table: Table, want: Shares) -> float:
-        """What a table's workers that are not out take, in weight."""
+        """What a table's workers that are not out take, in weight; a little where there is nobody."""
         if want is self.plain and table.borne is not None and table.borne_at >= self.cut and table.shares.keys(
                 ).isdisjoint(self.log[table.borne_at - self.cut:]):
             table.borne_at = self.cut + len(self.log)
             return table.borne
-        borne = sum(want.get(i, 0.0) for i in table.shares if i not in self.out)
+        borne = sum(want.get(i, 0.0) for i in table.shares if i not in self.out) or self.LITTLE
         if want is self.plain:
             table.borne, table.borne_at = borne, self.cut + len(self.log)
         return borne
 
+    def bearing(self, tables: Iterable[Table], want: Shares) -> dict[Table, float]:
+        return {table: self.bears(table, want) for table in tables}
+
     def free(self, cover: Cover, want: Shares) -> Iterable[int]:
         """Rows that are in, that have a share and no line in the tables covered, in order."""
         rows = cover.free(self.plain, self.log, self.cut) if want is self.plain else sorted(
@@ -125,17 +129,17 @@
                     asked[i] += more
         return sorted(asked, key=asked.__getitem__)
 
-    def apart(self, tables: Iterable[Table], wants: Iterable[Shares]) -> list[float]:
+    def apart(self, tables: Iterable[Table], wants: list[Shares]) -> list[float]:
         """How far each of these tables is from what is wanted of it: the sum over its lines."""
-        pairs = [(table, id(want)) for table, want in zip(tables, wants, strict=True)]
-        unlike = {(table, id(want)): (table, want, self.differing(table, want))
-                  for (table, _), want in dict(zip(pairs, wants, strict=True)).items()}
+        pairs = [*zip(tables, map(id, wants), strict=True)]
+        unlike = {pair: (pair[0], want, self.differing(pair[0], want))
+                  for pair, want in dict(zip(pairs, wants, strict=True)).items()}
         far = {pair: self._sum(table, want, sorted(rows)) for pair, (table, want, rows) in unlike.items() if rows}
         sums = sorted(far.values())
         if any(b - a < self.TIE * b for a, b in zip(sums, sums[1:], strict=False)):
             # Danger: equal ones told apart by rounding. Added up in the order of lines, they are alike as tables are.
             far = {pair: self._sum(*unlike[pair][:2], [*{**pair[0].shares, **unlike[pair][1]}]) for pair in far}
-        return [far.get(pair, 0.0) for pair in pairs]
+        return [far.get(pair, 0.0) for pair in pairs] if far else [0.0] * len(pairs)
 
     @staticmethod
     def _sum(table: Table, want: Shares, rows: list[int]) -> float:
--- a/dunlinlug/bookkeeping/listing.py
+++ b/dunlinlug/bookkeeping/listing.py
@@ -9,8 +9,8 @@
 
 class Fleet:
     """The listed workers, in parallel arrays under an index that each keeps while listed or in use. `weights` are those
-    of the ready; whoever has none told has what `usual` makes of those told. `moved` are rows with news since asked,
-    `turned` those that the last news made ready or ended."""
+    of the ready; whoever has none told has what `usual` makes of those told. `turned` are rows that the last news made
+    ready or ended."""
 
     def __init__(self, usual: Callable[[list[float]], float]) -> None:
         self.index: dict[str, int] = {}
@@ -70,6 +70,11 @@
         self.sum = -1.0
         self.moved |= moved | self.untold
 
+    def news(self) -> set[int]:
+        """Rows with news since this was asked."""
+        moved, self.moved = self.moved, set()
+        return moved
+
     def total(self) -> float:
         """All ready ones' weight, added up by row."""
         if self.sum < 0.0:
--- a/dunlinlug/bookkeeping/seating.py
+++ b/dunlinlug/bookkeeping/seating.py
@@ -6,12 +6,19 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cache
 from itertools import chain
 from math import inf
 
 from dunlinlug.bookkeeping.cover import Cover
 
 
+@cache
+def level(share: float, retry: int) -> tuple[float, int]:
+    """A product's level; equal ones are the same object, so that lists of them are soon compared."""
+    return share, retry
+
+
 @dataclass(eq=False)
 class Table:
     """A table under its number: each worker's share, and that share's part of the listed weight. `users` is how often
@@ -38,6 +45,7 @@
 
 
 Tops = tuple[Table | None, ...]  # by product the table that a proxy was bound to last, None where there is none
+NONE: list[tuple[Table, int]] = []  # what one holds that holds nothing; not to be changed
 Holds = dict[int, list[tuple[Table, int]]]  # by product the tables in use, newest last, with the mark awaited or 0
 
 
@@ -61,6 +69,7 @@
         self.products, self.joins = products, 0
         self.proxies: dict[int, Proxy] = {}
         self.groups: dict[Tops, dict[int, None]] = {}  # joined proxies by their tops; none is empty
+        self.at: dict[Table, dict[Tops, dict[int, None]]] = {}  # by table bound to last the groups, in their order
         self.tables: dict[int, Table] = {}  # laid and not cleared, by number
         self.used: dict[int, Table] = {}  # those of them that a proxy may be using, by place
         self.ends: dict[int, Table] = {}  # tables that are to be cleared, by place
@@ -70,7 +79,7 @@
         self.joins += 1
         tops: Tops = (None,) * self.products
         self.proxies[p] = Proxy(zone, rate, self.joins, tops)
-        self.groups.setdefault(tops, {})[p] = None
+        self._group(p, tops)
 
     def leave(self, p: int) -> None:
         if p in self.proxies:
@@ -88,8 +97,8 @@
                 self._use(table, 1)
             if entries:
                 proxy.holds[k] = entries
-        tops = tuple(proxy.holds[k][-1][0] if k in proxy.holds else None for k in range(self.products))
-        if tops != proxy.tops:
+        if any((entries[-1][0] if entries else None) is not proxy.tops[k] for k, entries in holds.items()):
+            tops = tuple(proxy.holds[k][-1][0] if k in proxy.holds else None for k in range(self.products))
             self._ungroup(p, proxy.tops)
             for sign, those in ((-1.0, proxy.tops), (1.0, tops)):
                 for top in those:
@@ -97,7 +106,7 @@
                         top.load += sign * proxy.rate
                         self._count(top)
             proxy.tops = tops
-            self.groups.setdefault(tops, {})[p] = None
+            self._group(p, tops)
 
     def _use(self, table: Table, more: int) -> None:
         table.users += more
@@ -153,11 +162,28 @@
         del members[p]
         if not members:
             del self.groups[tops]
+            for table in set(tops):
+                if table is not None:
+                    del self.at[table][tops]
+                    if not self.at[table]:
+                        del self.at[table]
+
+    def _group(self, p: int, tops: Tops) -> None:
+        if tops not in self.groups:
+            members = self.groups[tops] = {}
+            for table in set(tops):
+                if table is not None:
+                    self.at.setdefault(table, {})[tops] = members
+        self.groups[tops][p] = None
 
     def bind(self, p: int, products: Iterable[int], table: Table, mark: int, now: float) -> None:
         proxy = self.proxies[p]
         proxy.bound_at = now
-        self.hold(p, {k: [*proxy.holds.get(k, ()), (table, mark)] for k in products})
+        new: dict[int, list[tuple[Table, int]]] = {}  # products that held the same go on as one
+        for k in products:
+            if id(held := proxy.holds.get(k, NONE)) not in new:
+                new[id(held)] = [*held, (table, mark)]
+        self.hold(p, {k: new[id(proxy.holds.get(k, NONE))] for k in products})
 
     def drop(self, p: int, products: Iterable[int], number: int) -> None:
         """It never got this table."""
@@ -174,12 +200,15 @@
 
     def answered(self, p: int, passed: list[int]) -> None:
         """It has applied all up to these marks: the tables before the newest of them are out of use."""
-        for k, held in list(self.proxies[p].holds.items()):
+        new: dict[int, list[tuple[Table, int]]] = {}
+        for held in {id(held): held for held in self.proxies[p].holds.values()}.values():
             sure = max((n for n, (_, mark) in enumerate(held) if not mark or mark in passed), default=None)
             if sure:
-                self.hold(p, {k: [(held[sure][0], 0), *held[sure + 1:]]})
+                new[id(held)] = [(held[sure][0], 0), *held[sure + 1:]]
             elif sure == 0:
                 held[0] = (held[0][0], 0)
+        if new:
+            self.hold(p, {k: new[id(held)] for k, held in self.proxies[p].holds.items() if id(held) in new})
 
     def retire(self, tables: Iterable[Table], now: float) -> None:
         """Those of them that nobody may be using are cleared next, the others are not."""
@@ -196,30 +225,48 @@
             del self.tables[table.number], self.ends[table.place]
         return [table.number for table in past]
 
-    def named(self) -> set[int]:
-        """Workers that a table laid has a line for, or for which one had a part."""
-        return set().union(*(table.parts for table in self.tables.values()))
+    def named(self, *more: Iterable[int]) -> set[int]:
+        """Workers that a table laid has a line for, or for which one had a part, and these."""
+        return set().union(*more, *(table.parts for table in self.tables.values()))
 
     def in_use(self) -> list[Table]:
         return [self.used[place] for place in sorted(self.used)]
 
-    def turned(self, i: int, ready: bool) -> None:
-        """A worker is ready now, or is so no more."""
-        for table in self.tables.values():
-            if ready or i not in table.parts:
-                table.absent.discard(i)
-            else:
-                table.absent.add(i)
+    def enlist(self, rows: Iterable[int], ready: list[bool]) -> None:
+        """Workers that are ready now, or are so no more, by `ready`."""
+        for i in rows:
+            for table in self.tables.values():
+                if not ready[i] and i in table.parts:
+                    table.absent.add(i)
+                else:
+                    table.absent.discard(i)
 
     def lagging(self, k: int, old: Table, table: Table, since: float) -> bool:
         """Whether a proxy that was written to after `since` may not use this table of the product, and no other; where
         it was changed in place, that is asked of who is bound to it alone."""
-        sure = [(table, 0)]
-        return any(proxy.bound_at > since and proxy.holds.get(k) != sure for proxy in (
-            map(self.proxies.__getitem__, self.bound(table)) if old is table else self.proxies.values()))
+        return k in self.late({k: (old, table)}, since)
+
+    def late(self, changes: Mapping[int, tuple[Table, Table]], since: float) -> set[int]:
+        """The same of many, by product the old table and the new: products of which it is so."""
+        asked: dict[tuple[Table | None, Table], list[Proxy]] = {}
+        told, found = dict[tuple[int, Table], bool](), set[int]()
+        for k, (old, table) in changes.items():
+            only = table if old is table else None
+            if (only, table) not in asked:
+                asked[only, table] = [proxy for proxy in (
+                    map(self.proxies.__getitem__, self.bound(table)) if only else self.proxies.values())
+                    if proxy.bound_at > since]
+            for proxy in asked[only, table]:
+                held = proxy.holds.get(k, NONE)
+                if (id(held), table) not in told:
+                    told[id(held), table] = held != [(table, 0)]
+                if told[id(held), table]:
+                    found.add(k)
+                    break
+        return found
 
     def bound(self, table: Table) -> list[int]:
-        return [*chain.from_iterable(members for tops, members in self.groups.items() if table in tops)]
+        return [*chain.from_iterable(self.at.get(table, {}).values())]
 
     def naming(self, workers: set[int]) -> dict[int, list[dict[int, None]]]:
         """By worker the groups with a line for it, or that may have one as they have no table yet."""
@@ -241,15 +288,15 @@
                     users.setdefault((k, table), []).append(members)
         return [(k, table, groups) for (k, table), groups in users.items()]
 
-    def elsewhere(self, current: Mapping[int, Table], table: Table, joiners: bool) -> dict[Tops, tuple[int, ...]]:
+    def others(self, current: Mapping[int, Table], table: Table, joiners: bool) -> dict[Tops, tuple[int, ...]]:
         """Groups that are not bound to this current table for all its products, and what of it they lack: those that
         have no table for the first of that, or those that have another."""
-        here, others = tuple(current.values()), dict[Tops, tuple[int, ...]]()
+        here, found = tuple(current.values()), dict[Tops, tuple[int, ...]]()
         for tops in self.groups:
             other = tuple(k for k, now in current.items() if now is table is not tops[k]) if tops != here else ()
             if other and joiners == (tops[other[0]] is None):
-                others[tops] = other
-        return others
+                found[tops] = other
+        return found
 
     def far(self, p: int, near: Mapping[str, set[int]], tables: Iterable[Table | None]) -> bool:
         """Whether a table among these has nobody of the proxy's zone, though by `near` (by zone) there is somebody."""
--- a/dunlinlug/state.py
+++ b/dunlinlug/state.py
@@ -28,6 +28,9 @@
     levels: list[tuple[float, int]]
     out: set[int]
 
+    def mixed(self) -> bool:
+        return len({*map(id, self.shares)}) > 1
+
     def common(self) -> dict[int, float]:
         """Lines for all products, where they need not be the same: the first one's for workers of all."""
         first, *others = {id(want): want for want in self.shares}.values()
