A worker that goes or comes is told to tables in use alone; uses are counted once

Cause: of 834 small tables at 5,000 workers all were asked whether they name a worker of which news came, used or not; with 270 products each bind and answer moved uses by product. Orders equal over 37,000 generated turns.

--- a/dunlinlug/bookkeeping/seating.py
+++ b/dunlinlug/bookkeeping/seating.py
@@ -63,6 +63,10 @@
     bound_at: float = inf
     wait: float = 0.0
 
+    def lists(self) -> Iterable[list[tuple[Table, int]]]:
+        """What it holds, once where products hold the same."""
+        return {id(held): held for held in self.holds.values()}.values()
+
 
 class Seating:
     def __init__(self, products: int) -> None:
@@ -72,6 +76,8 @@
         self.at: dict[Table, dict[Tops, dict[int, None]]] = {}  # by table bound to last the groups, in their order
         self.tables: dict[int, Table] = {}  # laid and not cleared, by number
         self.used: dict[int, Table] = {}  # those of them that a proxy may be using, by place
+        self.kept: dict[int, Table] = {}  # those laid but for small ones that nobody uses, by place
+        self.gone = set[int]()  # workers that were ready and are not; the absent are told of tables kept alone
         self.ends: dict[int, Table] = {}  # tables that are to be cleared, by place
         self.laid, self.cover = 0, Cover()  # tables so far; rows of small tables in use that something is asked of
 
@@ -90,13 +96,17 @@
     def hold(self, p: int, holds: Holds) -> None:
         """The one place where a proxy comes to hold other tables: what it may be using of these products now."""
         proxy = self.proxies[p]
+        more: dict[Table, int] = {}
         for k, entries in holds.items():
             for table, _ in proxy.holds.pop(k, ()):
-                self._use(table, -1)
+                more[table] = more.get(table, 0) - 1
             for table, _ in entries:
-                self._use(table, 1)
+                more[table] = more.get(table, 0) + 1
             if entries:
                 proxy.holds[k] = entries
+        for table, uses in more.items():
+            if uses:
+                self._use(table, uses)
         if any((entries[-1][0] if entries else None) is not proxy.tops[k] for k, entries in holds.items()):
             tops = tuple(proxy.holds[k][-1][0] if k in proxy.holds else None for k in range(self.products))
             self._ungroup(p, proxy.tops)
@@ -112,8 +122,12 @@
         table.users += more
         if table.users:
             self.used[table.place] = table
+            if table.place not in self.kept:
+                self._keep(table)
         else:
             self.used.pop(table.place, None)
+            if table.small:
+                self.kept.pop(table.place, None)
         self._count(table)
 
     def _count(self, table: Table) -> None:
@@ -139,6 +153,8 @@
         """These are the small ones from now on."""
         for table in tables:
             table.small = True
+            if not table.users:
+                self.kept.pop(table.place, None)
         return tables
 
     def small(self) -> list[Table]:
@@ -148,8 +164,13 @@
     def lay(self, table: Table) -> Table:
         self.laid += 1
         table.place, self.tables[table.number] = self.laid, table
+        self._keep(table)
         return table
 
+    def _keep(self, table: Table) -> None:
+        self.kept[table.place] = table
+        table.absent = {i for i in table.parts if i in self.gone} if self.gone else set()
+
     def end(self, table: Table, at: float) -> None:
         """It is to be cleared then; never, if inf. One that was cleared already stays so."""
         table.clear_at = at
@@ -194,14 +215,14 @@
         """These proxies, which are bound to the table, are sent lines of it."""
         for proxy in map(self.proxies.__getitem__, users):
             proxy.bound_at = now
-            for held in proxy.holds.values():
+            for held in proxy.lists():
                 if held[-1][0] is table:
                     held[-1] = (table, mark)
 
     def answered(self, p: int, passed: list[int]) -> None:
         """It has applied all up to these marks: the tables before the newest of them are out of use."""
         new: dict[int, list[tuple[Table, int]]] = {}
-        for held in {id(held): held for held in self.proxies[p].holds.values()}.values():
+        for held in self.proxies[p].lists():
             sure = max((n for n, (_, mark) in enumerate(held) if not mark or mark in passed), default=None)
             if sure:
                 new[id(held)] = [(held[sure][0], 0), *held[sure + 1:]]
@@ -223,6 +244,7 @@
         past = [self.ends[n] for n in sorted(self.ends) if self.ends[n].clear_at <= now and not self.ends[n].users]
         for table in past:
             del self.tables[table.number], self.ends[table.place]
+            self.kept.pop(table.place, None)
         return [table.number for table in past]
 
     def named(self, *more: Iterable[int]) -> set[int]:
@@ -235,7 +257,8 @@
     def enlist(self, rows: Iterable[int], ready: list[bool]) -> None:
         """Workers that are ready now, or are so no more, by `ready`."""
         for i in rows:
-            for table in self.tables.values():
+            (self.gone.discard if ready[i] else self.gone.add)(i)
+            for table in self.kept.values():
                 if not ready[i] and i in table.parts:
                     table.absent.add(i)
                 else:
@@ -248,21 +271,16 @@
 
     def late(self, changes: Mapping[int, tuple[Table, Table]], since: float) -> set[int]:
         """The same of many, by product the old table and the new: products of which it is so."""
-        asked: dict[tuple[Table | None, Table], list[Proxy]] = {}
-        told, found = dict[tuple[int, Table], bool](), set[int]()
+        alike: dict[tuple[Table | None, Table], list[int]] = {}
         for k, (old, table) in changes.items():
-            only = table if old is table else None
-            if (only, table) not in asked:
-                asked[only, table] = [proxy for proxy in (
-                    map(self.proxies.__getitem__, self.bound(table)) if only else self.proxies.values())
-                    if proxy.bound_at > since]
-            for proxy in asked[only, table]:
-                held = proxy.holds.get(k, NONE)
-                if (id(held), table) not in told:
-                    told[id(held), table] = held != [(table, 0)]
-                if told[id(held), table]:
-                    found.add(k)
-                    break
+            alike.setdefault((table if old is table else None, table), []).append(k)
+        found = set[int]()
+        for (only, table), left in alike.items():
+            for proxy in map(self.proxies.__getitem__, self.bound(only)) if only else self.proxies.values():
+                if proxy.bound_at > since and left:
+                    sure = {id(held) for held in proxy.lists() if held == [(table, 0)]}
+                    found.update(k for k in left if id(proxy.holds.get(k)) not in sure)
+                    left = [k for k in left if k not in found]
         return found
 
     def bound(self, table: Table) -> list[int]:
