--- a/tests/roaming.py
+++ b/tests/roaming.py
@@ -23,7 +23,6 @@
 
     port: int
     at: float
-    first_at: float = inf  # when the first order had come whole
     order_times: list[float] = field(default_factory=list)
     marks: set[int] = field(default_factory=set)
     bytes_after: int = 0  # of an order begun and never ended
@@ -135,7 +134,6 @@
                 self.tables[lane] = {name: weight for name, weight in table.items() if weight}
                 self.admits[lane] = part.get("admit", 1.0 if part.get("full") else self.admits[lane])
             self.shut = (self.shut | {*part.get("eject", ())}) - {*part.get("restore", ())}
-        stream.first_at = min(stream.first_at, trio.current_time())
         self.joined = stream
         self._tell()
 
--- a/tests/standing.py
+++ b/tests/standing.py
@@ -121,6 +121,10 @@
         self.processes.append(process)
         self.running[n] = Running(process, self.ports[n], Discovery([]), self.config(n), log)
 
+    async def until_alive(self, *numbers: int) -> None:
+        for n in numbers:
+            await alive(self.running[n])
+
     async def kill(self, n: int) -> None:
         self.running[n].process.kill()
         await self.running[n].process.wait()
@@ -147,8 +151,7 @@
         try:
             for n in range(count):
                 await made.start(n)
-            for n in range(count):
-                await alive(made.running[n])
+            await made.until_alive(*range(count))
             yield made, nursery
             made.check()
         finally:
