--- a/dunlinlug/bookkeeping/evidence.py
+++ b/dunlinlug/bookkeeping/evidence.py
@@ -85,7 +85,7 @@
 
     def restore(self) -> None:
         """Make the books anew from the columns, where these alone were kept."""
-        moved = set(self.moved)
+        moved, self.moved = self.moved, set()
         for i in self.listed:
             self.book(i)
         self.moved = moved
--- a/dunlinlug/bookkeeping/seating.py
+++ b/dunlinlug/bookkeeping/seating.py
@@ -143,9 +143,9 @@
             self.cover.count(i, -1 if share is None else 1)
         table.changed.add(i)
         table.borne = None
+        (table.absent.add if i in self.gone and share is not None else table.absent.discard)(i)
         if share is None:
             table.shares.pop(i, None), table.parts.pop(i, None)
-            table.absent.discard(i)
         else:
             table.shares[i], table.parts[i] = share, part
 
