--- a/dunlinlug/bookkeeping/seating.py
+++ b/dunlinlug/bookkeeping/seating.py
@@ -267,7 +267,8 @@
     def lagging(self, k: int, old: Table, table: Table, since: float) -> bool:
         """Whether a proxy that was written to after `since` may not use this table of the product, and no other; where
         it was changed in place, that is asked of who is bound to it alone."""
-        return k in self.late({k: (old, table)}, since)
+        sure, users = [(table, 0)], self.bound(table) if old is table else self.proxies
+        return any(self.proxies[p].bound_at > since and self.proxies[p].holds.get(k) != sure for p in users)
 
     def late(self, changes: Mapping[int, tuple[Table, Table]], since: float) -> set[int]:
         """The same of many, by product the old table and the new: products of which it is so."""
--- a/tests/test_books.py
+++ b/tests/test_books.py
@@ -228,6 +228,7 @@
         assert seating.late(moves, since) == {k for k, (old, new) in moves.items() if any(
             proxy.bound_at > since and proxy.holds.get(k) != [(new, 0)] and (old is not new or new in proxy.tops)
             for proxy in seating.proxies.values())}
+        assert seating.late(moves, since) == {k for k, move in moves.items() if seating.lagging(k, *move, since)}
         wanted = [level(1.0, 1)] * 5
         assert {(k, t.number): sorted(p for group in groups for p in group)
                 for k, t, groups in seating.unlike(wanted)} == {
