A standby's books stand as the master's: groups by table are kept by name

Cause: what proxies are bound to a table was kept as the groups' own members, which are two records once the whole was read by a standby: who left stayed bound there. The test of the whole went on with reports and answers alone; it now has joins, leaves and news of the list, and checks the seating against a count anew (with the fault: seen).

--- a/dunlinlug/bookkeeping/seating.py
+++ b/dunlinlug/bookkeeping/seating.py
@@ -73,7 +73,7 @@
         self.products, self.joins = products, 0
         self.proxies: dict[int, Proxy] = {}
         self.groups: dict[Tops, dict[int, None]] = {}  # joined proxies by their tops; none is empty
-        self.at: dict[Table, dict[Tops, dict[int, None]]] = {}  # by table bound to last the groups, in their order
+        self.at: dict[Table, dict[Tops, None]] = {}  # by table bound to last the tops with it, in the groups' order
         self.tables: dict[int, Table] = {}  # laid and not cleared, by number
         self.used: dict[int, Table] = {}  # those of them that a proxy may be using, by place
         self.kept: dict[int, Table] = {}  # those laid but for small ones that nobody uses, by place
@@ -81,6 +81,12 @@
         self.ends: dict[int, Table] = {}  # tables that are to be cleared, by place
         self.laid, self.cover = 0, Cover()  # tables so far; rows of small tables in use that something is asked of
 
+    def restore(self) -> None:
+        """Products that hold the same go on as one again, where each was read by itself."""
+        for proxy in self.proxies.values():
+            one: dict[tuple[tuple[Table, int], ...], list[tuple[Table, int]]] = {}
+            proxy.holds = {k: one.setdefault(tuple(held), held) for k, held in proxy.holds.items()}
+
     def join(self, p: int, zone: str, rate: float = 0.0) -> None:
         self.joins += 1
         tops: Tops = (None,) * self.products
@@ -191,10 +197,10 @@
 
     def _group(self, p: int, tops: Tops) -> None:
         if tops not in self.groups:
-            members = self.groups[tops] = {}
+            self.groups[tops] = {}
             for table in set(tops):
                 if table is not None:
-                    self.at.setdefault(table, {})[tops] = members
+                    self.at.setdefault(table, {})[tops] = None
         self.groups[tops][p] = None
 
     def bind(self, p: int, products: Iterable[int], table: Table, mark: int, now: float) -> None:
@@ -285,7 +291,7 @@
         return found
 
     def bound(self, table: Table) -> list[int]:
-        return [*chain.from_iterable(self.at.get(table, {}).values())]
+        return [*chain.from_iterable(map(self.groups.__getitem__, self.at.get(table, ())))]
 
     def naming(self, workers: set[int]) -> dict[int, list[dict[int, None]]]:
         """By worker the groups with a line for it, or that may have one as they have no table yet."""
--- a/tests/test_facts.py
+++ b/tests/test_facts.py
@@ -8,7 +8,8 @@
 from dunlinlug.balance import Balancer
 from dunlinlug.fleet.succession import facts
 from dunlinlug.fleet.succession.plain import Codec, PlainFault
-from tests.helpers import Model, run, trade
+from tests.helpers import Model, run, trade, worker
+from tests.test_seating import agree
 
 
 def standing(module: Balancer) -> facts.Standing:
@@ -28,9 +29,16 @@
                  for mark in {mark for held in proxy.holds.values() for _, mark in held if mark}]
         events = [*chance.sample(marks, min(len(marks), 3)), face.Asked(1, "book", chance.randrange(20), 0, 0.5),
                   face.Met("north", f"10.0.0.{chance.randrange(9)}:80", 9, chance.choice([0, 0, 9]), 0.2, 0.5)]
+        if chance.random() < 0.2:
+            p = chance.randrange(8)
+            events.append(face.Left(p) if p in first.seating.proxies else face.Joined(p, "north", 5.0, True))
+        if chance.random() < 0.2:
+            since, state = chance.choice([None, now]), chance.choice(["ready", "draining", "gone"])
+            events.append(face.Listed("changes", (worker(chance.randrange(14), state, since),)))
         batch = facts.read_batch(facts.write_batch(facts.Batch(now, events, [1], {})))
         assert batch.events == events and batch.left_out == [1]
         assert twin.decide(batch.now, batch.events) == first.decide(now, events)
+        agree(twin.seating)
 
 
 def test_who_was_joined_with_the_former_master_leaves_our_module() -> None:
