Small tables are chosen for only where the channel takes a line

Cause: at every turn joins were drawn up for all small tables, and all workers ranked by what is asked of them where one was hot, though the channel or an answer outstanding forbade any line. What forbids it only grows within the reply, so it is asked first.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -532,22 +532,21 @@
         """Small tables follow in place. A worker that is in none joins where most is asked, and one of which
         least is asked where that is HOT times the usual."""
         want, tables = wanted.common(), self.seating.small()
+        able = {table for table in tables if not self.seating.lagging(0, table, table, self.since) and (
+            reply.price(self.seating.bound(table), self.each, 3, self.TURN) is not None)}
         asks = {table: table.load / bears for table, bears in self.lines.bearing(tables, want).items()}
         usual = sum(table.load for table in tables) / (self.lines.live(want) or 1.0)
         new = iter([*islice(self.lines.free(self.seating.cover, want), len(tables))])
         least = cache(lambda: self.lines.by_asked(want, asks))
         joins = dict[Table, int | None]()  # all are chosen before a table changes
-        for table in sorted(tables, key=lambda table: -asks[table]):
+        for table in sorted(tables if able else (), key=lambda table: -asks[table]):
             zones = self.fleet.by_zone(i for i in table.shares if i in want) if self.home else ()
-            more = next((i for i in least() if self.fleet.zones[i] not in zones), None) if zones else None
-            more = next(new, None) if more is None else more
-            if more is None and self.HOT * usual < asks[table]:
-                more = next((i for i in least() if i not in table.shares), None)
-            joins[table] = more
+            far = (i for i in (least() if zones else ()) if self.fleet.zones[i] not in zones)
+            joins[table] = next(chain(far, new), None)
+            if joins[table] is None and table in able and self.HOT * usual < asks[table]:
+                joins[table] = next((i for i in least() if i not in table.shares), None)
         for table, more in joins.items():
-            if (more is not None or self.lines.differing(table, want, lacking=False)) and reply.price(
-                    self.seating.bound(table), self.each, 3, self.TURN) is not None and not (
-                    self.seating.lagging(0, table, table, self.since)):
+            if table in able and (more is not None or self.lines.differing(table, want, lacking=False)):
                 self._amend(reply, wanted, table, {i: want[i] for i in (*table.shares, more) if i in want})
 
     def _withdraw(self, reply: Reply, wanted: Wanted) -> None:
