A small table's lines are compared only where the channel takes one

Cause: after the first lines of a reply the turn's drain is used up, and the tables after them were still compared.

--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -546,7 +546,8 @@
             if joins[table] is None and table in able and self.HOT * usual < asks[table]:
                 joins[table] = next((i for i in least() if i not in table.shares), None)
         for table, more in joins.items():
-            if table in able and (more is not None or self.lines.differing(table, want, lacking=False)):
+            if table in able and (more is not None or self.lines.differing(table, want, lacking=False)) and (
+                    reply.price(self.seating.bound(table), self.each, 3, self.TURN) is not None):
                 self._amend(reply, wanted, table, {i: want[i] for i in (*table.shares, more) if i in want})
 
     def _withdraw(self, reply: Reply, wanted: Wanted) -> None:
