--- a/tests/same_decisions.py
+++ b/tests/same_decisions.py
@@ -285,6 +285,8 @@
             found += 1
             difference = shrink(verdict.difference) if args.shrink else verdict.difference
             print(difference.report(), flush=True)
+        if seed % 100 == 99:
+            print(f"to seed {seed}: {turns} turns, {events} events, {found} differences", file=sys.stderr, flush=True)
     if args.counts:
         print(*(f"{n:9d} {name}" for name, n in sorted(counts.items())), sep="\n")
     print(f"seeds {args.seeds}: {turns} turns, {events} events, {found} differences, {rounding} turns of rounding")
