--- a/dunlinlug/balance.py
+++ b/dunlinlug/balance.py
@@ -343,7 +343,7 @@
         voided = middle(health.parts) if health.parts else 0.0
         storm = now < health.proven or voided >= self.STORM * self.bears
         # Word of a storm comes seconds late: no other cold worker is let in while tries fail anywhere.
-        tries, voids = health.heard()
+        tries, voids = health.heard(self.ROUGH)
         rough = not self.gate.calm or voids >= self.ROUGH * tries > 0.0
         tables = [*dict.fromkeys([*self.seating.in_use(), *self.current.values(), *(
             c.table for c in self.changes.values())])]
@@ -361,13 +361,12 @@
         shares = [self.all_in] * self.products
         if self.admits and health.parts:
             self.gate.step(now, voided, middle(health.paces))
-            idle = sum(weight[i] for i in self.out if i in weight)
-            shares = self.gate.levels((self.fleet.total() - idle) / self.fleet.total())
+            shares = self.gate.levels(self.fleet.served(self.out, 1.01 / Gate.SPARE))
         # Danger: an effect twice. Only on proof that none ran; not in overload or before a calm was seen.
         retry = min(self.usual_retry, 1) if health.calm and min(shares) >= 1.0 else 0
         plain = self.lines.in_order() if self.pins else self.lines.plain
         wanted = [plain] * self.products
-        for k in self.pins:
+        for k in self.pins.keys() & range(self.products):  # others may be pinned, and have no table
             wanted[k] = self._pinned(k, plain, parts, out)
         standing = set(self.current.values())
         for table in tables:  # Danger: nobody left. Where all of a table are out, the cold come in, or any
@@ -535,7 +534,7 @@
         able = {table for table in tables if not self.seating.lagging(0, table, table, self.since) and (
             reply.price(self.seating.bound(table), self.each, 3, self.TURN) is not None)}
         asks = {table: table.load / bears for table, bears in self.lines.bearing(tables, want).items()}
-        usual = sum(table.load for table in tables) / (self.lines.live(want) or 1.0)
+        usual = cache(lambda: sum(table.load for table in tables) / (self.lines.live(want) or 1.0))
         new = iter([*islice(self.lines.free(self.seating.cover, want), len(tables))])
         least = cache(lambda: self.lines.by_asked(want, asks))
         joins = dict[Table, int | None]()  # all are chosen before a table changes
@@ -543,7 +542,7 @@
             zones = self.fleet.by_zone(i for i in table.shares if i in want) if self.home else ()
             far = (i for i in (least() if zones else ()) if self.fleet.zones[i] not in zones)
             joins[table] = next(chain(far, new), None)
-            if joins[table] is None and table in able and self.HOT * usual < asks[table]:
+            if joins[table] is None and table in able and self.HOT * usual() < asks[table]:
                 joins[table] = next((i for i in least() if i not in table.shares), None)
         for table, more in joins.items():
             if table in able and (more is not None or self.lines.differing(table, want, lacking=False)) and (
--- a/dunlinlug/bookkeeping/evidence.py
+++ b/dunlinlug/bookkeeping/evidence.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 POINT = 2.0 ** 80  # sums are whole numbers of this part: however long they are kept up, nothing drifts
+TIE = 1e-9  # part by which two sums differ at least, if it is not by rounding
 Timed = tuple[float, int]  # a figure and a row
 
 
@@ -158,9 +159,14 @@
         elif (cap, full) != (1.0, 1.0):
             take(self.climbing, (due, i))
 
-    def heard(self) -> tuple[float, float]:
-        """All tries, and the voided ones, of who is heard."""
-        return self.sums[0] / POINT, self.sums[1] / POINT
+    def heard(self, part: float) -> tuple[float, float]:
+        """All tries, and the voided ones, of who is heard. Danger: where just this part is voided the last digit tells.
+        Next to it they are added up row by row."""
+        tries, voided = self.sums[0] / POINT, self.sums[1] / POINT
+        if abs(voided - part * tries) > TIE * tries:
+            return tries, voided
+        rows = [i for i in sorted(self.listed) if self.cap[i] and self.tries[i] >= self.bounds[1]]
+        return sum(self.tries[i] for i in rows), sum(self.voided[i] for i in rows)
 
     def awake(self, now: float) -> list[int]:
         """Who is out and due, by row."""
--- a/dunlinlug/bookkeeping/lines.py
+++ b/dunlinlug/bookkeeping/lines.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from dunlinlug.bookkeeping.cover import Cover
-from dunlinlug.bookkeeping.evidence import POINT
+from dunlinlug.bookkeeping.evidence import TIE
 from dunlinlug.bookkeeping.seating import Table
 
 Shares = dict[int, float]
@@ -16,22 +16,16 @@
 class Lines:
     """By row of each ready worker `parts`, its part of its weight, and `plain`, its share, where it has one."""
 
-    TIE = 1e-9  # part of a sum by which two differ at least, if it is not by rounding
     LITTLE = 1e-6  # divides
     SHORT = 1000  # entries of the log that are kept in any case
 
-    DERIVED = ("mass",)
-
     def __init__(self) -> None:
         self.parts, self.plain = Shares(), Shares()
         self.log, self.cut = list[int](), 0  # rows whose share changed, and how many were cut off before them
-        self.out, self.mass = set[int](), 0  # who is out; the shares of all others, in POINTs
+        self.out = set[int]()
+        self.sum, self.summed = 0.0, -1  # of the shares of who is in, and how long the log was then
         self.last, self.loose = -1, False  # the greatest row of `plain` so far, and whether its order is another
 
-    def restore(self) -> None:
-        """Make the sum anew from the shares, where these alone were kept."""
-        self.mass = sum(int(share * POINT) for i, share in self.plain.items() if i not in self.out)
-
     def drop(self, rows: Iterable[int]) -> None:
         """They are not ready."""
         for i in rows:
@@ -44,8 +38,6 @@
         if self.plain.get(i) == share:
             return
         self.log.append(i)
-        if i not in self.out:
-            self.mass += int((share or 0.0) * POINT) - int(self.plain.get(i, 0.0) * POINT)
         if share is None:
             del self.plain[i]
         else:
@@ -56,9 +48,7 @@
 
     def shut(self, out: set[int]) -> None:
         """Who is out now."""
-        for i in out ^ self.out:
-            self.mass += int(self.plain.get(i, 0.0) * POINT) * (1 if i in self.out else -1)
-            self.log.append(i)
+        self.log.extend(out ^ self.out)
         self.out = set(out)
         self._shorten()
 
@@ -115,10 +105,13 @@
         return (i for i in rows if i not in self.out)
 
     def live(self, want: Shares) -> float:
-        """The shares of all that are in, added up."""
-        if want is self.plain:
-            return self.mass / POINT
-        return sum(share for i, share in want.items() if i not in self.out)
+        """The shares of all that are in, added up in order; a walk where something changed since."""
+        if want is not self.plain:
+            return sum(share for i, share in want.items() if i not in self.out)
+        if self.summed != self.cut + len(self.log):
+            self.sum = sum(share for i, share in self.in_order().items() if i not in self.out)
+            self.summed = self.cut + len(self.log)
+        return self.sum
 
     def by_asked(self, want: Shares, asks: dict[Table, float]) -> list[int]:
         """Rows that are in, by what these tables together ask of each, the least first."""
@@ -136,8 +129,9 @@
                   for pair, want in dict(zip(pairs, wants, strict=True)).items()}
         far = {pair: self._sum(table, want, sorted(rows)) for pair, (table, want, rows) in unlike.items() if rows}
         sums = sorted(far.values())
-        if any(b - a < self.TIE * b for a, b in zip(sums, sums[1:], strict=False)):
+        if any(b - a < TIE * b for a, b in zip(sums, sums[1:], strict=False)):
             # Danger: equal ones told apart by rounding. Added up in the order of lines, they are alike as tables are.
+            self.in_order()
             far = {pair: self._sum(*unlike[pair][:2], [*{**pair[0].shares, **unlike[pair][1]}]) for pair in far}
         return [far.get(pair, 0.0) for pair in pairs] if far else [0.0] * len(pairs)
 
--- a/dunlinlug/bookkeeping/listing.py
+++ b/dunlinlug/bookkeeping/listing.py
@@ -81,6 +81,13 @@
             self.sum = sum(map(self.weights.__getitem__, self.rows))
         return self.sum
 
+    def served(self, out: set[int], doubt: float) -> float:
+        """The part of the weight that these leave. Danger: a level tips by the last digit, so a part below `doubt` is
+        added up worker by worker."""
+        part = (self.total() - sum(self.weights[i] for i in out if i in self.weights)) / self.total()
+        return part if part >= doubt else sum(
+            self.weights[i] for i in dict.fromkeys(self.rows).keys() - out) / self.total()
+
     def by_zone(self, workers: Iterable[int]) -> dict[str, set[int]]:
         """These workers parted by zone."""
         parted: dict[str, set[int]] = {}
--- a/dunlinlug/fleet/succession/facts.py
+++ b/dunlinlug/fleet/succession/facts.py
@@ -98,7 +98,7 @@
             vars(getattr(module, key)).update(vars(value))
         elif key != "chance":
             setattr(module, key, value)
-    for part in (module.health, module.lines, module.seating):
+    for part in (module.health, module.seating):
         part.restore()
     module.uniform.__self__.setstate(found["chance"])  # type: ignore[attr-defined]
     return module, standing
