Nobody heard is no tie

Cause: with no tries both sums are nothing, which counted as next to a tie, so that a release without reports walked all listed workers each turn.

--- a/dunlinlug/bookkeeping/evidence.py
+++ b/dunlinlug/bookkeeping/evidence.py
@@ -163,7 +163,7 @@
         """All tries, and the voided ones, of who is heard. Danger: where just this part is voided the last digit tells.
         Next to it they are added up row by row."""
         tries, voided = self.sums[0] / POINT, self.sums[1] / POINT
-        if abs(voided - part * tries) > TIE * tries:
+        if not self.parts or abs(voided - part * tries) > TIE * tries:
             return tries, voided
         rows = [i for i in sorted(self.listed) if self.cap[i] and self.tries[i] >= self.bounds[1]]
         return sum(self.tries[i] for i in rows), sum(self.voided[i] for i in rows)
