--- a/dunlinlug/bookkeeping/evidence.py
+++ b/dunlinlug/bookkeeping/evidence.py
@@ -10,8 +10,8 @@
 from math import inf
 from typing import Any
 
-ROUNDING = 1e-9  # part of a sum up to which two that are added up in another order may differ; some 1e-13 was seen
 POINT = 2.0 ** 80  # sums are whole numbers of this part: however long they are kept up, nothing drifts
+TIE = 1e-9  # part by which two sums differ at least, if it is not by rounding
 Timed = tuple[float, int]  # a figure and a row
 
 
@@ -159,11 +159,11 @@
         elif (cap, full) != (1.0, 1.0):
             take(self.climbing, (due, i))
 
-    def heard(self, tie: float) -> tuple[float, float]:
-        """All tries, and the voided ones, of who is heard. Where just the part `tie` of them is voided, both are added
-        up by row, so that a comparison goes by the figures themselves and not by how they were kept."""
+    def heard(self, part: float) -> tuple[float, float]:
+        """All tries, and the voided ones, of who is heard. Danger: where just this part is voided the last digit tells.
+        Next to it they are added up row by row."""
         tries, voided = self.sums[0] / POINT, self.sums[1] / POINT
-        if not tries or abs(voided - tie * tries) > ROUNDING * tries:
+        if not self.parts or abs(voided - part * tries) > TIE * tries:
             return tries, voided
         rows = [i for i in sorted(self.listed) if self.cap[i] and self.tries[i] >= self.bounds[1]]
         return sum(self.tries[i] for i in rows), sum(self.voided[i] for i in rows)
