--- a/tests/roaming.py
+++ b/tests/roaming.py
@@ -41,6 +41,8 @@
         self.tables: dict[str, dict[str, float]] = {lane: {} for lane in lanes}
         self.admits, self.shut = dict.fromkeys(lanes, 1.0), set[str]()
         self.streams, self.faults = list[Stream](), list[str]()
+        self.refused = dict[int, float]()  # by port, when it refused our dial last
+        self.dialled = 0  # the port
         self.joined: Stream | None = None  # the stream that stands and has brought an order
         self.changed, self.heard = trio.Event(), list[Callable[[], None]]()
         self.rps, self.writing = 2.0, trio.Lock()
@@ -56,16 +58,21 @@
             while not seen():
                 await self.changed.wait()
 
+    def choose(self, last: int) -> int:
+        """The port to dial next."""
+        return self.chance.choice([port for port in self.ports if port != last] or self.ports)
+
     async def run(self) -> None:
         """Until cancelled."""
         last = 0
         while True:
-            last = self.chance.choice([port for port in self.ports if port != last] or self.ports)
+            last = self.dialled = self.choose(last)
             stream: trio.SocketStream | None = None
             with trio.move_on_after(self.DIAL):
                 try:
                     stream = await trio.open_tcp_stream("127.0.0.1", last)
                 except OSError:
+                    self.refused[last] = trio.current_time()
                     await trio.sleep(0.02)
             if stream is not None:
                 async with stream:
@@ -153,8 +160,9 @@
     async def _answer(self, stream: trio.SocketStream) -> None:
         async with stream:
             try:
-                self.effects[int(await stream.receive_some())] += 1
-                await stream.send_all(b"done")
+                if asked := await stream.receive_some():
+                    self.effects[int(asked)] += 1
+                    await stream.send_all(b"done")
             except trio.BrokenResourceError:
                 return
 
@@ -162,10 +170,9 @@
 class Requests:
     """Requests that reach proxies; each is to get one final answer, and to have its effect once at most."""
 
-    WITHIN = 2.0  # seconds for an answer
-
-    def __init__(self, workers: Workers, chance: Random) -> None:
+    def __init__(self, workers: Workers, chance: Random, within: float = 2.0) -> None:
         self.workers, self.chance, self.asked = workers, chance, 0
+        self.within = within  # seconds for an answer
         self.answers: dict[int, list[str]] = {}
         self.over = False
 
@@ -179,16 +186,17 @@
 
     async def _ask(self, proxy: Proxy) -> None:
         self.asked, number = self.asked + 1, self.asked
-        lane = self.chance.choice(proxy.lanes)
-        answer = "late"
-        with trio.move_on_after(self.WITHIN):
-            answer = await self._answer(proxy, lane, number)
-        self.answers.setdefault(number, []).append(answer)
+        lane, went = self.chance.choice(proxy.lanes), ["nobody to pick"]
+        answer = ""
+        with trio.move_on_after(self.within):
+            answer = await self._answer(proxy, lane, number, went)
+        self.answers.setdefault(number, []).append(answer or f"late: {went[-1]}")
 
-    async def _answer(self, proxy: Proxy, lane: str, number: int) -> str:
+    async def _answer(self, proxy: Proxy, lane: str, number: int, went: list[str]) -> str:
         while True:
             if usable := proxy.usable(lane):
                 name = self.chance.choices([*usable], [*usable.values()])[0]
+                went.append(name)
                 try:
                     stream = await trio.open_tcp_stream("127.0.0.1", self.workers.ports[name])
                 except OSError:
@@ -197,6 +205,7 @@
                 async with stream:
                     await stream.send_all(b"%d" % number)
                     return (await stream.receive_some()).decode() or "failed"
+            went.append("nobody to pick")
             await proxy.changed.wait()
 
     async def until_answered(self, count: int) -> None:
@@ -207,9 +216,10 @@
     async def finish(self) -> None:
         """No more are made; checks that each had its one answer and its one effect."""
         self.over = True
-        with trio.fail_after(self.WITHIN + 3.0):
+        with trio.fail_after(self.within + 3.0):
             while len(self.answers) < self.asked:
                 await trio.sleep(0.01)
         assert self.asked == len(self.answers) > 0
-        assert {number: said for number, said in self.answers.items() if said != ["done"]} == {}
+        other = [said for said in self.answers.values() if said != ["done"]]
+        assert not other, other
         assert set(self.workers.effects.values()) == {1} and self.workers.effects.keys() == self.answers.keys()
--- a/tests/standing.py
+++ b/tests/standing.py
@@ -4,7 +4,6 @@
 import json
 import socket
 import struct
-import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -15,7 +14,7 @@
 from dunlinlug.standin.platform import Discovery
 from tests.fleet import free_ports
 from tests.test_crossings_process import told
-from tests.test_platform_process import ROOT, SETTINGS, Running
+from tests.test_platform_process import ROOT, SETTINGS, STARTED, Running
 from tests.test_platform_process import _alive as alive
 
 NETLINK_INET_DIAG, SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST = 4, 20, 1  # linux/netlink.h, linux/sock_diag.h
@@ -109,14 +108,14 @@
     def told(self, n: int, **more: Any) -> str:
         return json.dumps(told(self.ports[n], **{"discovery": self.place, **self.more, **more}))
 
-    async def start(self, n: int, **environment: str) -> None:
-        """Started, not awaited."""
+    async def start(self, n: int, files: int = 256, **environment: str) -> None:
+        """Started, not awaited, with so many descriptors."""
         if not self.config(n).exists():
             self.config(n).write_text(self.told(n))
         self.logs.append(log := self.folder / f"log{n}.{len(self.logs)}")
         with log.open("wb") as out:
             process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "dunlinlug.platform"], cwd=ROOT, stderr=out,
+                ["/bin/sh", "-c", f"ulimit -n {files}; {STARTED}"], cwd=ROOT, stderr=out,
                 env={**environment, "ROUTER_CONFIG": str(self.config(n))})
         self.processes.append(process)
         self.running[n] = Running(process, self.ports[n], Discovery([]), self.config(n), log)
@@ -141,9 +140,10 @@
 
 
 @asynccontextmanager
-async def managers(folder: Path, serve: Callable[[trio.SocketStream], Awaitable[None]], count: int,
+async def managers(folder: Path, serve: Callable[[trio.SocketStream], Awaitable[None]], count: int, wait: bool = True,
                    **more: Any) -> AsyncIterator[tuple[Managers, trio.Nursery]]:
-    """So many that have answered `alive`, before the discovery that `serve` plays; `more` is in their configuration."""
+    """So many, before the discovery that `serve` plays, with `more` in their configuration; where we `wait`, each has
+    answered `alive`."""
     async with trio.open_nursery() as nursery:
         doors = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(trio.serve_listeners, serve, doors)
@@ -151,7 +151,7 @@
         try:
             for n in range(count):
                 await made.start(n)
-            await made.until_alive(*range(count))
+            await made.until_alive(*range(count if wait else 0))
             yield made, nursery
             made.check()
         finally:
