--- /dev/null
+++ b/bench/scale/proxies.py
@@ -0,0 +1,97 @@
+"""Hollow proxies: each follows one real manager's tables by the project's own subscriber, reports, carries no txns."""
+
+import json
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import asdict
+from random import Random
+from typing import Any
+
+import trio
+
+from bench.scale import part
+from bench.scale.accounting import Meter
+from bench.scale.discovery import ZONES
+from dunlinlug.client.tally import Tally
+from dunlinlug.net import grpc
+from dunlinlug.xds import loads, names
+from dunlinlug.xds.subscriber import Holdings, Subscriber
+
+REDIAL = 0.5  # seconds from a stream's end to the next dialling, drawn from half to one and a half of it
+RATE = 2.0  # txns a second that each says it has
+
+
+class HollowProxy:
+    def __init__(self, name: str, zone: str, place: tuple[str, int], meter: Meter, chance: Random) -> None:
+        self.name, self.zone, self.place, self.meter, self.chance = name, zone, place, meter, chance
+        self.holdings, self.tally, self.joined = Holdings(), Tally(name, zone), False
+
+    async def run(self) -> None:
+        while True:
+            try:
+                async with grpc.dial(*self.place) as link:
+                    await self._stream(link)
+            except* (OSError, grpc.CallEnded, trio.TooSlowError):
+                self.meter.counts["ended"] += 1
+            self.joined = False
+            await trio.sleep(REDIAL * self.chance.uniform(0.5, 1.5))
+
+    async def _stream(self, link: grpc.Link) -> None:
+        call = link.call(names.ADS)
+        await call.opened.wait()
+        if call.ended is not None:
+            raise call.ended
+        subscriber = Subscriber(self.holdings, self.name, self.zone, {"txns_per_s": RATE})
+        for request in subscriber.greet():
+            self._send(call, request, "ads")
+        self.joined = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report, link.call(names.LRS))
+            while True:
+                data = await call.receive()
+                self.meter.add("ads", "in", len(data))
+                answer, done = subscriber.receive(data)
+                self.meter.counts["refused"] += bool(done.refused)
+                self._send(call, answer, "ads")
+
+    def _send(self, call: grpc.Call, data: bytes, kind: str) -> None:
+        self.meter.add(kind, "out", len(data))
+        call.send(data)
+
+    async def _report(self, call: grpc.Call) -> None:
+        self._send(call, loads.write(loads.Loads(self.name, self.zone, 0.0), greeting=True), "lrs")
+        data = await call.receive()
+        self.meter.add("lrs", "in", len(data))
+        cycle = loads.read_answer(data)
+        while True:
+            await trio.sleep(cycle * self.chance.uniform(0.9, 1.1))
+            self._send(call, loads.write(self.tally.take(trio.current_time()), greeting=False), "lrs")
+
+
+class Proxies:
+    def __init__(self, told: Mapping[str, Any]) -> None:
+        self.meter, places = Meter(), [(p[0], p[1]) for p in told["managers"]]
+        self.proxies = [HollowProxy(f"p{n}", ZONES[n % len(ZONES)], places[n % len(places)], self.meter,
+                                    Random(f"{told['seed']} p{n}")) for n in range(told["count"])]
+
+    async def obey(self, command: part.Command) -> dict[str, Any]:
+        joined = sum(proxy.joined for proxy in self.proxies)
+        tables = sum(bool(proxy.holdings.tables) for proxy in self.proxies)
+        return {"did": command["do"], "at": time.monotonic(), "reading": asdict(part.own_reading(self.meter)),
+                "members": len(self.proxies), "queues": {"joined": joined, "with_table": tables}}
+
+
+async def main(told: Mapping[str, Any]) -> None:
+    proxies = Proxies(told)
+    async with trio.open_nursery() as nursery:
+        for proxy in proxies.proxies:
+            nursery.start_soon(proxy.run)
+        part.say(did="ready")
+        await part.commands(proxies.obey)
+        nursery.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    given = json.loads(sys.stdin.readline())
+    trio.run(main, given, clock=part.Slowed(given["clock"]))
