Scale rig: tests of its pure parts beside models, of its faults, short runs by counts

Cause: the rig had no tests, lost verdicts told to a reload's looking, and said 'died' for a place that was taken.

--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -211,12 +211,10 @@
         try:
             for member in crowd.members.values():
                 await nursery.start(member.run)
-        except OSError as fault:
-            part.say(did="failed", why=f"a place of hollow members is taken: {fault}")
-            nursery.cancel_scope.cancel()
-            return
-        part.say(did="ready")
-        await part.commands(crowd.obey)
+            part.say(did="ready")
+            await part.commands(crowd.obey)
+        except* OSError as faults:
+            part.say(did="failed", why=f"a place of hollow members is taken: {part.first(faults)}")
         nursery.cancel_scope.cancel()
 
 
--- a/bench/scale/part.py
+++ b/bench/scale/part.py
@@ -41,6 +41,13 @@
         return (deadline - self.current_time()) / self.rate
 
 
+def first(faults: BaseException) -> BaseException:
+    """Out of all groups."""
+    while isinstance(faults, BaseExceptionGroup):
+        faults = faults.exceptions[0]
+    return faults
+
+
 def own_reading(meter: Meter, control_s: float = 0.0) -> Reading:
     with open("/proc/self/statm", encoding="ascii") as file:
         resident = int(file.read().split()[1]) * PAGE_MB
--- a/bench/scale/scenario.py
+++ b/bench/scale/scenario.py
@@ -142,6 +142,10 @@
         if step.at + step.lasts > scale.length:
             raise BookFault(f"{path}:{_line(path, f'[step {name}]')}: [step {name}] lasts: it ends at "
                             f"{step.at + step.lasts:g} s, after the run's length of {scale.length:g} s")
+        steps = -(-max(map(int, scale.sizes)) // step.size)
+        if step.kind == "restart" and steps * step.every > step.lasts:
+            raise BookFault(f"{path}:{_line(path, f'[step {name}]')}: [step {name}] lasts: {steps} steps, one each "
+                            f"{step.every:g} s, take longer than {step.lasts:g} s")
     fewest = min(map(int, scale.sizes))
     needs_hollow = any(step.kind in ("rack", "zone", "split", "restart") for step in book.many(Step).values())
     if fewest < members.real or needs_hollow and fewest - members.real < LEFT_ALONE + 1:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,689 @@
+"""The scale rig: its pure parts beside slow plain models, its faults, and short runs judged by counts."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from itertools import pairwise
+from math import inf
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+import trio
+
+from bench.scale import accounting, budget, discovery, part, run, scenario, stage, sweep, truth
+from bench.scale.__main__ import main
+from dunlinlug.book import BookFault
+from dunlinlug.fleet.members import codec
+from dunlinlug.fleet.members.words import ALIVE, Ping, Told
+
+ROOT = Path(__file__).parent.parent
+SMALL = """[scale]
+name = small
+sizes = 4
+settle = 0s
+length = 20s
+[members]
+real = 1
+[discovery]
+workers = 20
+[proxies]
+count = 1
+"""
+
+
+def book_of(folder: Path, text: str) -> scenario.Book:
+    path = folder / "scenario.ini"
+    path.write_text(text)
+    return scenario.read(path)
+
+
+# Scenarios.
+
+@pytest.mark.parametrize(("text", "line", "said"), [
+    ("[scale]\nname = a\nsizes = 4x\n", 1, "sizes holds '4x'"),
+    ("[scale]\nname = a\nsizes = 4\nclock = 1%\n", 1, "from 2% to 100%"),
+    ("[scale]\nname = a\nsizes = 10\nlenght = 4s\n", 4, "did you mean 'length'"),
+    ("[scale]\nname = a\nsizes = 10\nlength = 4\n", 4, "a time with its unit"),
+    ("[scale]\nname = a\nsizes = 3\n", 3, "3 members leave no room for 5 real ones"),
+    ("[scale]\nname = a\nsizes = 6\n[step x]\nkind = rack\nat = 1s\nlasts = 2s\n", 3, "and hollow ones to take down"),
+    ("[scale]\nname = a\nsizes = 10\n[step x]\nkind = quake\nat = 1s\nlasts = 2s\n", 5, "'quake' is not one of churn"),
+    ("[scale]\nname = a\nsizes = 10\n\n[step x]\nkind = rack\nat = 29s\nlasts = 2s\n", 5, "ends at 31 s, after"),
+    ("[scale]\nname = a\nsizes = 10\n[step x]\nkind = restart\nat = 1s\nlasts = 3s\nsize = 3\n", 4, "4 steps"),
+    ("[scale]\nname = a\nsizes = 10\n[bounds]\nmemory_mb = 64000\n", 4, "memory_mb is at most 12000"),
+    ("[scale]\nname = a\nsizes = 10\n[step x]\nkind = rack\nat = 1s\n", 4, "key 'lasts' is missing"),
+])
+def test_a_mistake_is_one_line_with_file_and_line_and_status_2(tmp_path: Path, capsys: pytest.CaptureFixture[str],
+                                                               text: str, line: int, said: str) -> None:
+    path = tmp_path / "a.ini"
+    path.write_text(text)
+    with pytest.raises(BookFault, match=said.replace("'", ".")) as caught:
+        scenario.read(path)
+    assert str(caught.value).startswith(f"{path}:{line}: ")
+    assert main(["run", str(path), "--results", str(tmp_path)]) == 2
+    assert capsys.readouterr().err == f"bench.scale: {caught.value}\n"
+
+
+def test_scenarios_that_are_kept_can_be_read_and_planned() -> None:
+    files = sweep.files([ROOT / "bench" / "scale" / "scenarios"])
+    assert len(files) >= 8
+    for path in files:
+        book = scenario.read(path)
+        for size in map(int, book.one(scenario.Scale).sizes):
+            plan = scenario.plan(book, size)
+            assert len(plan.real) + len(plan.hollow) == size
+            assert plan == scenario.plan(book, size)
+            assert all(before.at <= after.at for before, after in pairwise(plan.acts))
+
+
+def test_a_plan_leaves_seeds_alone_and_real_managers_on_the_larger_side(tmp_path: Path) -> None:
+    steps = "".join(f"[step {kind}]\nkind = {kind}\nat = 1s\nlasts = 9s\npart = 40%\nsize = 20\nevery = 1s\n"
+                    for kind in ("rack", "zone", "split", "restart"))
+    for seed in range(30):
+        book = book_of(tmp_path, f"[scale]\nname = a\nsizes = 100\nseed = {seed}\n{steps}")
+        plan = scenario.plan(book, 100)
+        struck = {act.do: act.names for act in plan.acts if act.do in ("cut", "heal")}
+        assert struck["cut"] == struck["heal"] and len(struck["cut"]) == 40 and not {*struck["cut"]} & {*plan.real}
+        downs = [act.names for act in plan.acts if act.do == "down"]
+        assert sorted(map(len, downs)) in ([9, 20], [10, 20])  # a seed may stand in the zone
+        assert not {"h0", "h1"} & {name for names in downs for name in names}
+        left = [name for act in plan.acts if act.do == "leave" for name in act.names]
+        assert sorted(left) == sorted([*plan.real, *plan.hollow])
+
+
+# What was true, beside a model that looks at each moment by itself.
+
+NAMES = tuple(f"m{n}" for n in range(6))
+Deed = tuple[float, str, tuple[str, ...]]
+
+
+def deeds(chance: Random) -> list[Deed]:
+    """Downs, ups, one cut at a time, and its heal, at whole seconds."""
+    found: list[Deed] = []
+    behind: tuple[str, ...] = ()
+    for at in sorted(chance.sample(range(200), 20)):
+        names = tuple(chance.sample(NAMES, chance.randint(1, 3)))
+        do = chance.choice(["down", "up", "cut"])
+        if do == "cut" and behind:
+            do, names, behind = "heal", behind, ()
+        elif do == "cut":
+            behind = names
+        found.append((float(at), do, names))
+    return found
+
+
+def told(made: list[Deed], kind: type[truth.Timeline] = truth.Timeline) -> truth.Timeline:
+    timeline = kind()
+    for at, do, names in made:
+        getattr(timeline, do)(at, names)
+    return timeline
+
+
+def stood(made: list[Deed], at: float) -> tuple[set[str], set[str]]:
+    """Who was down and who behind the cut at a moment, by going through all that was done before."""
+    down, behind = set[str](), set[str]()
+    for when, do, names in made:
+        if when <= at:
+            match do:
+                case "down":
+                    down |= {*names}
+                case "up":
+                    down -= {*names}
+                case "cut":
+                    behind = {*names}
+                case "heal":
+                    behind = set()
+    return down, behind
+
+
+def excused(made: list[Deed], verdict: truth.Verdict, late: float) -> bool:
+    """The slow way: each half second from `late` before the verdict up to it."""
+    down, behind = stood(made, verdict.at)
+    if verdict.of in down or behind and (verdict.by in behind) != (verdict.of in behind):
+        return True
+    at = verdict.at
+    while at >= verdict.at - late:
+        down, before = stood(made, at)
+        if verdict.of in down or before and before != behind:
+            return True
+        at -= 0.5
+    return False
+
+
+def disagreements(kind: type[truth.Timeline], runs: int = 150) -> int:
+    found = 0
+    for seed in range(runs):
+        chance = Random(seed)
+        made = deeds(chance)
+        timeline = told(made, kind)
+        for _ in range(40):
+            by, of = chance.sample(NAMES, 2)
+            verdict = truth.Verdict(chance.randrange(200) + 0.25, by, of)
+            found += timeline.excuses(verdict, 3.0) != excused(made, verdict, 3.25)
+            found += timeline.is_down(of, verdict.at) != (of in stood(made, verdict.at)[0])
+    return found
+
+
+class StartsAgain(truth.Timeline):
+    """Without the guard on overlaps: who is down is taken down once more, and never comes back from the first."""
+
+    def down(self, at: float, names: Any, planned: bool = False) -> None:
+        for name in names:
+            self.downs.setdefault(name, []).append(truth.Spell(at))
+
+
+class OneSided(truth.Timeline):
+    """Without the guard on sides: during a cut everything is excused."""
+
+    def excuses(self, verdict: truth.Verdict, late: float) -> bool:
+        return super().excuses(verdict, late) or any(s.begin <= verdict.at < s.end for s, _ in self.cuts)
+
+
+class NoGrace(truth.Timeline):
+    def excuses(self, verdict: truth.Verdict, late: float) -> bool:
+        return super().excuses(verdict, 0.0)
+
+
+def test_the_timeline_says_what_a_plain_model_says() -> None:
+    assert disagreements(truth.Timeline) == 0
+
+
+@pytest.mark.parametrize("kind", [StartsAgain, OneSided, NoGrace])
+def test_a_timeline_with_a_guard_out_is_caught(kind: type[truth.Timeline]) -> None:
+    assert disagreements(kind) > 0
+
+
+def test_false_verdicts_are_those_on_members_that_were_up_and_reachable() -> None:
+    timeline = told([(10.0, "down", ("a",)), (20.0, "up", ("a",)), (30.0, "cut", ("b",)), (40.0, "heal", ("b",))])
+    verdicts = [truth.Verdict(*words) for words in (
+        (9.9, "c", "a"), (11.0, "c", "a"), (21.0, "c", "a"), (25.0, "c", "a"), (31.0, "c", "b"), (31.0, "b", "c"),
+        (31.0, "c", "a"), (42.0, "c", "a"), (45.0, "c", "b"), (5.0, "a", "a"))]
+    assert truth.false(verdicts, timeline, 3.0) == [verdicts[0], verdicts[3], verdicts[6], verdicts[8]]
+
+
+def test_who_saw_a_death_is_told_by_each_other_member_once_and_none_is_owed_by_the_struck() -> None:
+    for seed in range(100):
+        chance = Random(seed)
+        timeline = told([(10.0, "down", ("m0",)), (30.0, "up", ("m0",)), (12.0, "down", ("m1",)),
+                         (50.0, "up", ("m1",))])
+        timeline.down(15.0, ["m2"], planned=True)
+        verdicts = [truth.Verdict(chance.uniform(0.0, 60.0), *chance.sample(NAMES, 2)) for _ in range(60)]
+        found = truth.seen(verdicts, timeline, NAMES)
+        each, missing = [], 0
+        for victim, begin, end in (("m0", 10.0, 30.0), ("m1", 12.0, 50.0)):
+            for by in ("m3", "m4", "m5"):  # m0, m1 and m2 are down in the same span themselves
+                times = [v.at for v in verdicts if (v.by, v.of) == (by, victim) and begin <= v.at < end]
+                each += [min(times) - begin] if times else []
+                missing += not times
+        assert sorted(found["each"]) == sorted(each) and found["missing"] == missing
+        assert len(found["last"]) <= 2 and all(last in each for last in found["last"])
+
+
+def test_lists_lost_or_out_of_order_are_named() -> None:
+    assert truth.disordered({"a": [1, 2, 5], "b": [1, 3, 2], "c": [4, 4], "d": []}) == ["b", "c"]
+    assert truth.lost({"a": (7, "x"), "b": (6, "x"), "c": (7, "y"), "d": (0, "")}, 7, "x") == ["b", "c", "d"]
+    taken = {"a": [(1, 0.5), (3, 2.5)], "b": [(1, 0.7), (2, 1.5), (3, 2.2)]}
+    assert truth.reached({1: 0.0, 2: 1.0, 3: 2.0}, taken) == [0.7, 1.5, 0.5]
+    assert truth.reached({4: 3.0}, taken) == [] == truth.reached({1: 0.0}, {})
+
+
+# Sums.
+
+def test_sums_over_processes_are_those_of_a_plain_list_of_all_messages() -> None:
+    for seed in range(50):
+        chance = Random(seed)
+        meters, log = [accounting.Meter() for _ in range(3)], list[tuple[str, str, int, bool]]()
+        role = accounting.Role()
+        for counted in (False, True):
+            if counted:
+                before = [accounting.Reading(n, 10.0, meter.said(), 0.5) for n, meter in enumerate(meters)]
+            for _ in range(100):
+                kind, way, size = chance.choice("pang"), chance.choice(["in", "out"]), chance.randrange(1400)
+                chance.choice(meters).add(kind, way, size)
+                log.append((kind, way, size, counted))
+        for n, meter in enumerate(meters):
+            role.add(before[n], accounting.Reading(n + 2.0, 20.0 + n, meter.said(), 1.0), 4)
+        found = role.figures(10.0)
+        for kind in "pang":
+            for way in ("in", "out"):
+                sizes = [size for k, w, size, counted in log if counted and (k, w) == (kind, way)]
+                assert found["messages"][kind][way] == len(sizes)
+                assert found["messages"][kind][f"bytes_{way}"] == sum(sizes)
+        assert (found["processes"], found["members"], found["rss_mb"]) == (3, 12, 63.0)
+        assert (found["cpu_s"], found["cpu_share_per_member"], found["control_cpu_s"]) == (6.0, 0.05, 1.5)
+        assert found["per_member_s"]["out"] == round(sum(w == "out" and c for _, w, _, c in log) / 120, 3)
+
+
+def role_of(members: int, **kinds: int) -> dict[str, Any]:
+    return {"members": members, "messages": {
+        kind: {"in": count * members, "out": count * members, "bytes_in": 100 * count * members,
+               "bytes_out": 100 * count * members} for kind, count in kinds.items()}}
+
+
+@pytest.mark.parametrize(("real", "hollow", "valid"), [
+    (role_of(2, ping=1000, ack=500), role_of(9, ping=1040, ack=490), True),
+    (role_of(2, ping=1000, ack=500), role_of(9, ping=1060, ack=500), False),  # one kind too often
+    (role_of(2, ping=1000, ack=500), role_of(9, ping=1000, ack=440), False),
+    (role_of(2, ping=1000, ack=500), role_of(9, ping=1000), False),  # one kind is never said
+    (role_of(2, ping=1000, ask=30), role_of(9, ping=1000, ask=12), True),  # too rare to tell
+    (role_of(2, ping=50), role_of(9, ping=50), False),  # too little to tell anything
+    (role_of(2, ping=1000), role_of(0, ping=1000), False),
+    (role_of(2, ping=1000, list=300), role_of(9, ping=1000, list=200), False),
+])
+def test_hollow_members_are_valid_only_where_all_that_tells_enough_agrees(real: dict[str, Any], hollow: dict[str, Any],
+                                                                          valid: bool) -> None:
+    assert accounting.compared(real, hollow, 0.05)["valid"] is valid
+
+
+def test_a_spread_tells_three_figures() -> None:
+    found = accounting.spread([n / 100 for n in range(1, 101)])
+    assert found == {"count": 100, "p50": pytest.approx(0.5, rel=2e-3), "p99": pytest.approx(0.99, rel=2e-3),
+                     "most": 1.0}
+    assert accounting.spread([]) == {"count": 0}
+
+
+# The machine.
+
+def test_bounds_are_judged_by_what_is_held() -> None:
+    assert budget.over(12000.0, 200, 12000, 200) == ""
+    assert "12001 MB, over its bound of 12000" in budget.over(12001.0, 1, 12000, 200)
+    assert "201 processes" in budget.over(1.0, 201, 12000, 200)
+    assert budget.resident(os.getpid()) > 5.0 and budget.resident(2**30) == 0.0
+
+
+def test_what_waits_and_drops_at_sockets_is_read_from_the_kernel() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as here, socket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM) as there:
+        here.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        here.bind(("127.0.0.1", 0))
+        looked = budget.Datagrams({here.getsockname()[1]: "hollow"})
+        looked.look(budget.udp_lines())
+        looked.begin()
+        for _ in range(100):
+            there.sendto(bytes(1000), here.getsockname())
+        looked.look(budget.udp_lines())
+        got = 0
+        here.setblocking(False)
+        try:
+            while here.recv(2000):
+                got += 1
+        except BlockingIOError:
+            pass
+        assert 0 < got < 100 and looked.dropped("hollow") == 100 - got and looked.dropped("real") == 0
+        assert looked.longest["hollow"] >= 1000
+
+
+def test_the_rigs_clock_goes_slower() -> None:
+    clock = part.Slowed(0.1)
+    clock.start_clock()
+    began = time.monotonic()
+    while time.monotonic() < began + 0.05:
+        pass
+    assert clock.current_time() <= 0.1 * (time.monotonic() - clock.began)
+    assert clock.deadline_to_sleep_time(clock.current_time() + 1.0) == pytest.approx(10.0, abs=0.1)
+    for rate in (0.0, 1.5):
+        with pytest.raises(ValueError):
+            part.Slowed(rate)
+
+
+def test_a_stopwatch_counts_nested_calls_once_and_goes_on_after_a_fault() -> None:
+    watch, spent = part.Stopwatch(), []
+
+    class Work:
+        def outer(self) -> None:
+            began = time.thread_time()
+            self.inner()
+            self.inner()
+            spent.append(time.thread_time() - began)
+
+        def inner(self) -> None:
+            began = time.thread_time()
+            while time.thread_time() < began + 0.02:
+                pass
+
+        def fails(self) -> None:
+            raise KeyError
+
+    work = Work()
+    for name in ("outer", "inner", "fails"):
+        watch.put_round(work, name)
+    with pytest.raises(KeyError):
+        work.fails()
+    work.outer()
+    assert spent[0] <= watch.spent < 1.5 * spent[0] and watch.depth == 0
+
+
+def test_who_is_beyond_a_cut_is_not_heard_and_all_else_is_counted() -> None:
+    meter, key = accounting.Meter(), bytes(32)
+    sealer, opener = part.CountedSealer(key, bytes(8)), part.CountedOpener([key])
+    sealer.meter = opener.meter = meter
+    ping = Ping(Told("a", (1, 0), ALIVE, ("127.0.0.1", 1), "a"), "b", 1, b"")
+    data = sealer.seal(ping)
+    assert opener.open(data) == ping
+    with pytest.raises(codec.Refused, match="replay"):
+        opener.open(data)
+    opener.beyond = frozenset({"a"})
+    with pytest.raises(codec.Refused, match="cut"):
+        opener.open(sealer.seal(ping))
+    assert meter.said() == {"ping": {"in": 1, "out": 2, "bytes_in": len(data), "bytes_out": 2 * len(data)}}
+    assert meter.counts == {"refused replay": 1, "refused cut": 1}
+
+
+def test_churn_turns_as_many_drawn_workers_as_told_and_nothing_else() -> None:
+    workers = discovery.fleet(500)
+    assert len(workers) == 500
+    for seed in range(20):
+        changed = discovery.churned(workers, 20, Random(seed))
+        assert len({worker.id for worker in changed}) == 20
+        assert all(worker.state == "draining" for worker in changed)
+        assert all(worker.state == "ready" for worker in discovery.churned(
+            {worker.id: worker for worker in changed}, 20, Random(seed)))
+
+
+def test_verdicts_are_bounded_and_what_did_not_fit_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(part.Verdicts, "MOST", 3)
+    kept = part.Verdicts()
+    for n in range(5):
+        kept.add("a", f"m{n}")
+    assert [of for _, _, of in kept.taken()] == ["m0", "m1", "m2"] and kept.dropped == 2 and kept.taken() == []
+
+
+def test_a_sweep_passes_over_what_has_a_result_and_not_over_what_ended_early(tmp_path: Path) -> None:
+    book = book_of(tmp_path, "[scale]\nname = a\nsizes = 10, 300, 30\n")
+    first = book_of(tmp_path, "[scale]\nname = validate\nsizes = 30\n")
+    (tmp_path / run.name_of(book, 10)).write_text("{}")
+    (tmp_path / run.name_of(book, 300).replace(".json", ".partial")).write_text("{}")
+    assert sweep.wanted([book, first], [], tmp_path) == [(first, 30), (book, 30), (book, 300)]
+    assert sweep.wanted([book, first], [300], tmp_path) == [(book, 300)]
+
+
+# Runs that go wrong: each ends with its cause, and leaves no process.
+
+def gone(pids: list[int]) -> bool:
+    """Whether all have ended. One that ended and was not waited for yet is as good as gone."""
+    def is_gone(pid: int) -> bool:
+        try:
+            return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] == "Z"
+        except OSError:
+            return True
+
+    return all(map(is_gone, pids))
+
+
+def played(book: scenario.Book, hold: dict[str, int] | None = None,
+           meanwhile: Callable[[run.Run], Any] | None = None) -> tuple[run.Run, str]:
+    made = run.Run(book, int(book.one(scenario.Scale).sizes[0]), lambda line: None, hold)
+
+    async def both() -> str:
+        async with trio.open_nursery() as nursery:
+            if meanwhile is not None:
+                nursery.start_soon(meanwhile, made)
+            why = await made.play()
+            nursery.cancel_scope.cancel()
+        return why
+
+    why = trio.run(both)
+    assert gone([one.process.pid for one in made.parts])
+    return made, why
+
+
+async def until_measuring(made: run.Run) -> None:
+    while not made.measuring:
+        await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize(("name", "said"), [
+    ("h1", "hollow-0: a place of hollow members is taken"), ("discovery", "the place of discovery is taken"),
+    ("serves r0", "r0: a place of a manager is taken"), ("r0", "r0: a place of a manager is taken")])
+def test_a_port_that_is_taken_ends_the_run(tmp_path: Path, name: str, said: str) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        made, why = played(book_of(tmp_path, SMALL), {name: taken.getsockname()[1]})
+    assert said in why
+    assert run.figures(made, why, {})["ended"] == why
+
+
+@pytest.mark.parametrize("which", ["hollow-0", "r0", "discovery", "proxies"])
+def test_a_process_that_dies_ends_the_run_with_what_was_measured_until_then(tmp_path: Path, which: str) -> None:
+    async def kill(made: run.Run) -> None:
+        await until_measuring(made)
+        while not made.roles["hollow"].queues:
+            await trio.sleep(0.02)
+        next(one for one in made.parts if one.name == which).process.kill()
+
+    made, why = played(book_of(tmp_path, SMALL), meanwhile=kill)
+    assert f"{which} ended during the run (status -9)" in why
+    found = run.figures(made, why, {"5": True, "30": True})
+    assert found["ended"] == why and not found["valid"]
+    assert 0.0 < found["span_s"] < 20.0 and found["roles"]["hollow"]["queues"] and found["peak_mb"] > 20
+
+
+def test_memory_over_the_bound_ends_the_run(tmp_path: Path) -> None:
+    _, why = played(book_of(tmp_path, SMALL + "[bounds]\nmemory_mb = 50\n"))
+    assert "over its bound of 50 MB" in why
+
+
+def test_too_many_processes_are_not_started(tmp_path: Path) -> None:
+    made, why = played(book_of(tmp_path, SMALL + "[bounds]\nprocesses = 3\n"))
+    assert "4 processes, over its bound of 3" in why and len(made.parts) == 2
+
+
+def test_a_manager_that_does_not_get_ready_ends_the_run(tmp_path: Path) -> None:
+    _, why = played(book_of(tmp_path, SMALL + "[bounds]\nready_within = 10ms\n"))
+    assert "did not get ready within 0.01 s" in why
+
+
+def test_a_part_that_is_stuck_ends_the_run_and_is_ended(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stage, "ANSWER", 3.0)
+    monkeypatch.setattr(stage, "ENDING", 0.5)
+
+    async def stop(made: run.Run) -> None:
+        await until_measuring(made)
+        next(one for one in made.parts if one.role == "hollow").process.send_signal(signal.SIGSTOP)
+
+    _, why = played(book_of(tmp_path, SMALL), meanwhile=stop)
+    assert "hollow-0 did not answer report within 3 s" in why
+
+
+def children(pid: int) -> list[int]:
+    """Of all its threads: who started a process is its parent whichever thread did."""
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            words = stat.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(words[1]) == pid:
+            found.append(int(stat.parent.name))
+    return found
+
+
+def wait_for(true: Callable[[], bool], within: float) -> bool:
+    deadline = time.monotonic() + within
+    while time.monotonic() < deadline:
+        if true():
+            return True
+        time.sleep(0.02)
+    return true()
+
+
+@pytest.mark.parametrize(("number", "status"), [(signal.SIGTERM, 1), (signal.SIGINT, 1), (signal.SIGKILL, -9)])
+def test_a_run_that_is_interrupted_leaves_no_process(tmp_path: Path, number: signal.Signals, status: int) -> None:
+    (tmp_path / "small.ini").write_text(SMALL)
+    process = subprocess.Popen([sys.executable, "-m", "bench.scale", "run", str(tmp_path / "small.ini"), "--results",
+                                str(tmp_path)], cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True,
+                               env={**os.environ, "TMPDIR": str(tmp_path)})
+    try:
+        assert process.stderr is not None
+        while " of 20 s" not in process.stderr.readline():  # it is measuring; at its end readline gives nothing
+            assert process.poll() is None
+        pids = children(process.pid)
+        assert len(pids) == 4
+        process.send_signal(number)
+        assert process.wait(30) == status
+        assert wait_for(lambda: gone(pids), 10.0)
+        said = process.stderr.read()
+    finally:
+        process.kill()
+        process.wait()
+    partial = tmp_path / "small-4-s1.partial"
+    assert partial.exists() == (status == 1) and not (tmp_path / "small-4-s1.json").exists()
+    if status == 1:
+        assert f"ended early: interrupted by {number.name}" in said
+        assert json.loads(partial.read_text())["span_s"] > 0
+        assert not list(tmp_path.glob("scale-*"))  # its own folder is gone
+
+
+# Short runs, judged by counts.
+
+STEADY = """[scale]
+name = validate
+sizes = 6
+settle = 1s
+length = 9s
+beat = 200ms
+[members]
+real = 3
+[discovery]
+workers = 200
+[proxies]
+count = 3
+[bounds]
+error = 30%
+[step churn]
+kind = churn
+at = 1s
+lasts = 6s
+every = 2s
+size = 4
+"""
+
+
+def test_hollow_members_say_and_hear_what_real_ones_do(tmp_path: Path) -> None:
+    path, found = run.play(book_of(tmp_path, STEADY), 6, tmp_path, lambda line: None)
+    assert found["ended"] == "whole" and path.name == "validate-6-s1.json"
+    assert json.loads(path.read_text()) == json.loads(json.dumps(found))
+    own = found["validation"]["own"]
+    assert own["judged"] >= 4 and own["valid"], own
+    for kind in ("ping", "ack", "news", "list"):
+        assert own["rows"][f"{kind} out"]["apart"] <= 0.3 and own["rows"][f"{kind} bytes_in"]["apart"] <= 0.3, own
+    assert found["truth"]["list_changes"] == 3 and not found["truth"]["list_lost"]
+    assert not found["truth"]["list_disordered"] and found["times"]["list_at_last_s"]["count"] == 3
+    for role in ("real", "hollow"):
+        pings = found["roles"][role]["messages"]["ping"]["out"]
+        assert 3 * 9 / 0.2 / 2 <= pings <= 3 * (9 / 0.2 + 3) * 1.5  # one each beat; the rest on others' behalf
+        # Facts go to each of five others once a second, both in one message or each in its own.
+        assert 3 * 5 * 8 / 2 <= found["roles"][role]["messages"]["news"]["out"] <= 3 * 5 * 11 * 2
+    assert found["roles"]["discovery"]["messages"]["list hollow"]["out"] >= 3 * 3
+    assert found["roles"]["proxies"]["queues"] == {"joined": 3, "with_table": 3}
+
+
+CROWD = """[scale]
+name = crowd
+sizes = 30
+settle = 1s
+length = 17s
+beat = 300ms
+[members]
+real = 3
+per_process = 14
+[discovery]
+workers = 300
+[proxies]
+count = 3
+[step churn]
+kind = churn
+at = 500ms
+lasts = 12s
+every = 2s
+size = 5
+[step rack]
+kind = rack
+at = 500ms
+lasts = 9s
+size = 5
+[step split]
+kind = split
+at = 11s
+lasts = 5s
+part = 40%
+[step configure]
+kind = configure
+at = 2s
+lasts = 3s
+every = 1s
+"""
+
+
+@pytest.fixture(scope="module")
+def crowd(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Any]]:
+    folder = tmp_path_factory.mktemp("crowd")
+    yield run.play(book_of(folder, CROWD), 30, folder, lambda line: None)[1]
+
+
+def test_a_crowd_sees_a_rack_die_and_comes_together_after_a_cut(crowd: dict[str, Any]) -> None:
+    said = crowd["truth"]
+    assert crowd["ended"] == "whole" and not crowd["valid"]  # without runs that validate it its figures don't count
+    assert said["false_verdicts"] == 0, said["false_shown"]
+    assert crowd["times"]["failed_seen_s"]["count"] + said["verdicts_missing"] == 5 * 25
+    assert said["verdicts_missing"] == 0 and said["verdicts_uncounted"] == 0
+    assert said["views_equal"] and not said["list_lost"] and not said["list_disordered"]
+    assert said["list_changes"] == 6 and crowd["times"]["configured_at_last_s"]["count"] == 3
+
+
+def test_a_crowds_costs_by_counts(crowd: dict[str, Any]) -> None:
+    roles, beats = crowd["roles"], 17 / 0.3
+    assert (roles["real"]["members"], roles["hollow"]["members"], roles["hollow"]["processes"]) == (3, 27, 2)
+    for role in ("real", "hollow"):
+        messages, members = roles[role]["messages"], roles[role]["members"]
+        assert {"ping", "ack", "news", "whole", "list"} <= messages.keys()
+        # A ping each beat; with deaths and a cut some more for others and at once, never as many again.
+        assert members * beats / 3 <= messages["ping"]["out"] <= members * beats * 2
+        assert messages["ack"]["out"] <= messages["ping"]["in"] + messages["ask"]["in"] + messages["ack"]["in"]
+        assert messages["news"]["out"] <= members * (17 + 2) * (2 * 29 + 3 * 8)  # facts to all, and what is new
+        assert messages["list"]["in"] <= members * 8
+        # No datagram is over what a path carries.
+        for kind in messages.keys() - {"whole", "list"}:
+            assert messages[kind]["bytes_out"] <= 1500 * messages[kind]["out"]
+    assert roles["discovery"]["messages"]["list hollow"]["out"] >= 27 * 4
+    assert roles["hollow"]["counts"]["refused cut"] > 0  # the cut was in force on what real managers sent on
+    dead = Counter({name: count for name, count in roles["hollow"]["counts"].items() if name == "became failed"})
+    assert dead["became failed"] >= 5 * 22
+
+
+def test_the_real_managers_seats_are_all_taken(crowd: dict[str, Any]) -> None:
+    assert crowd["roles"]["proxies"]["queues"] == {"joined": 3, "with_table": 3}
+    assert crowd["roles"]["real"]["queues"]["channel"] <= 4000
+
+
+def test_views_that_never_meet_end_a_run_before_it_is_measured(tmp_path: Path) -> None:
+    made = run.Run(book_of(tmp_path, SMALL), 4, lambda line: None)
+    made.views = Counter({"aa 4 alive": 4})
+    assert made.equal()
+    for views in ({"aa 4 alive": 3}, {"aa 3 alive": 4}, {"aa 4 alive": 3, "bb 4 alive": 1}, {"aa 4 barred": 4}, {}):
+        made.views = Counter(views)
+        assert not made.equal()
+
+
+def test_figures_without_anything_measured_are_not_valid(tmp_path: Path) -> None:
+    made = run.Run(book_of(tmp_path, SMALL), 4, lambda line: None)
+    made.load, made.datagrams = [0.0, 0.0], budget.Datagrams({})
+    found = run.figures(made, "", {"5": True, "30": True})
+    assert not found["valid"] and found["roles"]["hollow"]["cpu_share_per_member"] == 0.0
+    assert truth.Timeline().ended() == 0.0 and told([(1.0, "down", ("a",))]).ended() == inf
+
+
+def test_earlier_runs_validate_only_if_all_of_a_size_agreed(tmp_path: Path) -> None:
+    for n, (size, valid) in enumerate([(5, True), (30, True), (30, False)]):
+        (tmp_path / f"validate-{size}-s{n}.json").write_text(json.dumps({"sizes": {"members": size}, "valid": valid}))
+    assert run.validated(tmp_path) == {"5": True, "30": False}
+    assert SimpleNamespace(**run.validated(tmp_path / "none")) == SimpleNamespace()
