Scale rig: the project's audit judges real managers by their hollow proxies' records

Change: hollow proxies record streams, sets, bare spells and, as tries, what they would send to; the audit's bare, drain and queue rules judge each real manager that ran all the time; a run other than validate counts only after valid runs at 5 and 30.

--- a/bench/scale/__init__.py
+++ b/bench/scale/__init__.py
@@ -44,6 +44,8 @@
     truth
       false_verdicts, false_shown   members said to have failed that were up and reachable, and the first of them
       verdicts, verdicts_missing    all, and those that were owed and not told before the member was back
+      rules       {lines, tries, bare, drain, queue, shown}: breaks at the real managers by the project's audit, of the
+                  rules that it can tell without txns, and the lines of record that this rests on; null without proxies
       verdicts_uncounted            that did not fit into a process's memory of them
       grace_s                       seconds after a fault's end in which a verdict may still tell of it
       views_equal, views_within_s   whether all views became equal, and within which time they were to
--- a/bench/scale/discovery.py
+++ b/bench/scale/discovery.py
@@ -46,6 +46,7 @@
         self.meter, self.chance = Meter(), Random(f"{told['seed']} workers")
         self.workers, self.index, self.changed = fleet(told["workers"]), FIRST, trio.Event()
         self.changes: dict[int, float] = {}
+        self.states: dict[int, dict[str, str]] = {FIRST: {}}  # by version, what was changed in it
         self.waiting = 0
         self._write()
 
@@ -69,12 +70,15 @@
     async def obey(self, command: part.Command) -> dict[str, Any]:
         match command["do"]:
             case "churn":
-                for worker in churned(self.workers, command["value"], self.chance):
-                    self.workers[worker.id] = worker
+                changed = churned(self.workers, command["value"], self.chance)
+                self.workers.update({worker.id: worker for worker in changed})
                 self.index += 1
+                self.states[self.index] = {worker.id: worker.state for worker in changed}
                 self._write()
                 self.changed.set()
                 self.changed = trio.Event()
+            case "record":
+                return {"did": "record", "states": self.states, "workers": sorted(self.workers)}
             case "final":
                 return {"did": "final", "index": self.index, "changes": self.changes,
                         "digests": [xxhash.xxh64_hexdigest(self.body), json.dumps(prints(self.workers))],
--- a/bench/scale/proxies.py
+++ b/bench/scale/proxies.py
@@ -10,22 +10,49 @@
 
 import trio
 
-from bench.scale import part
+from bench.scale import part, rules
 from bench.scale.accounting import Meter
 from bench.scale.discovery import ZONES
+from dunlinlug.audit.records import Line
 from dunlinlug.client.tally import Tally
 from dunlinlug.net import grpc
 from dunlinlug.xds import loads, names
 from dunlinlug.xds.subscriber import Holdings, Subscriber
 
 REDIAL = 0.5  # seconds from a stream's end to the next dialling, drawn from half to one and a half of it
+PRODUCTS = ("read", "book")  # as the managers' files of the rig have them
+TRIED = 20  # workers of its table that each says each second it would send to
+ROWS = 400_000  # lines of record kept by the process: a run of an hour of the largest number of proxies planned
 RATE = 2.0  # txns a second that each says it has
 
 
 class HollowProxy:
-    def __init__(self, name: str, zone: str, place: tuple[str, int], meter: Meter, chance: Random) -> None:
+    def __init__(self, name: str, zone: str, place: tuple[str, int], meter: Meter, chance: Random,
+                 record: list[Line]) -> None:
         self.name, self.zone, self.place, self.meter, self.chance = name, zone, place, meter, chance
-        self.holdings, self.tally, self.joined = Holdings(), Tally(name, zone), False
+        self.holdings, self.tally, self.joined, self.record = Holdings(), Tally(name, zone), False, record
+        self.bare = dict[str, bool]()
+
+    def _write(self, event: str, **said: Any) -> None:
+        if len(self.record) < ROWS:
+            self.record.append(rules.row(time.monotonic(), event, self.name, **said))
+        else:
+            self.meter.counts["unrecorded"] += 1
+
+    def _see_bare(self) -> None:
+        for product in PRODUCTS:
+            bare = not self.holdings.lines(product)
+            if bare != self.bare.get(product, False):
+                self.bare[product] = bare
+                self._write("bare", product=product, on=bare)
+
+    async def _try(self) -> None:
+        """What it would send to now."""
+        while True:
+            await trio.sleep(1.0)
+            usable = sorted(self.holdings.lines(PRODUCTS[0]))
+            for worker in self.chance.sample(usable, min(TRIED, len(usable))):
+                self._write("try", worker=worker)
 
     async def run(self) -> None:
         while True:
@@ -34,6 +61,8 @@
                     await self._stream(link)
             except* (OSError, grpc.CallEnded, trio.TooSlowError):
                 self.meter.counts["ended"] += 1
+            if self.joined:
+                self._write("left")
             self.joined = False
             await trio.sleep(REDIAL * self.chance.uniform(0.5, 1.5))
 
@@ -46,13 +75,19 @@
         for request in subscriber.greet():
             self._send(call, request, "ads")
         self.joined = True
+        self._write("joined")
+        self._see_bare()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._report, link.call(names.LRS))
+            nursery.start_soon(self._try)
             while True:
                 data = await call.receive()
                 self.meter.add("ads", "in", len(data))
                 answer, done = subscriber.receive(data)
                 self.meter.counts["refused"] += bool(done.refused)
+                if len(self.record) < ROWS:
+                    self.record.append(rules.applied(time.monotonic(), self.name, done))
+                self._see_bare()
                 self._send(call, answer, "ads")
 
     def _send(self, call: grpc.Call, data: bytes, kind: str) -> None:
@@ -71,11 +106,14 @@
 
 class Proxies:
     def __init__(self, told: Mapping[str, Any]) -> None:
-        self.meter, places = Meter(), [(p[0], p[1]) for p in told["managers"]]
+        self.meter, self.record = Meter(), list[Line]()
+        places = [(p[0], p[1]) for p in told["managers"]]
         self.proxies = [HollowProxy(f"p{n}", ZONES[n % len(ZONES)], places[n % len(places)], self.meter,
-                                    Random(f"{told['seed']} p{n}")) for n in range(told["count"])]
+                                    Random(f"{told['seed']} p{n}"), self.record) for n in range(told["count"])]
 
     async def obey(self, command: part.Command) -> dict[str, Any]:
+        if command["do"] == "record":
+            return {"did": "record", "lines": self.record}
         joined = sum(proxy.joined for proxy in self.proxies)
         tables = sum(bool(proxy.holdings.tables) for proxy in self.proxies)
         return {"did": command["do"], "at": time.monotonic(), "reading": asdict(part.own_reading(self.meter)),
--- a/bench/scale/real.py
+++ b/bench/scale/real.py
@@ -65,13 +65,18 @@
         made.changed = heard
         return made
 
+    @staticmethod
+    def clock_at() -> tuple[float, float]:
+        """One moment on the clock of all processes, and on ours, by which its messages say when they were ordered."""
+        return time.monotonic(), trio.current_time()
+
     async def obey(self, command: part.Command) -> dict[str, Any]:
         known = self.follower.known
         if command["do"] == "reloads":
             return {"did": "reloads", "reloads": self.meter.counts["reload.done"]}
         if command["do"] == "final":
             me = self.members.me
-            return {"did": "final", "taken": {me: {self.epoch: self.taken}},
+            return {"did": "final", "taken": {me: {self.epoch: self.taken}}, "clock_at": self.clock_at(),
                     "held": {me: (self.follower.state.index, json.dumps(prints(known)) if known else "")}}
         membership = self.membership
         assert membership is not None
--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from bench.scale import accounting, budget, part, scenario, stage, truth
+from bench.scale import accounting, budget, part, rules, scenario, stage, truth
 from bench.scale.accounting import Reading, Role
 from bench.scale.budget import RunFault
 from dunlinlug.book import Book
@@ -53,6 +53,7 @@
         self.equal_after: float | None = None
         self.final: dict[str, Any] = {}
         self.views: Counter[str] = Counter()
+        self.kept_rules: dict[str, Any] | None = None
         self.fixed = hold or {}  # places that a test wants, by name
 
     # Time.
@@ -86,7 +87,7 @@
     def _common(self) -> dict[str, Any]:
         return {"clock": self.plan.clock, "seed": self.scale.seed, "discovery": self.places["discovery"]}
 
-    def _manager_file(self, name: str, pace: int = 1200) -> Path:
+    def _manager_file(self, name: str, pace: int = scenario.PACE) -> Path:
         return stage.manager_file(self.folder, name, self.places, (*self.plan.real, *self.plan.hollow),
                                   self.scale.seed, self.scale.beat, pace)
 
@@ -294,12 +295,37 @@
         took = await self._until_equal(max(self.bounds.views_within - waited, 0.0))
         self.equal_after = None if took is None else max(waited, 0.0) + took if self.timeline.ended() else took
         began = self.at()
+        found: dict[stage.Part, dict[str, Any]] = {}
         while self.at() < began + LISTED:
             found = await self._ask_all({"do": "final"}, ("real", "hollow", "discovery"))
             self.final = self._finals(found)
             if not self.final["lost"]:
-                return
+                break
             await self.wait(POLL)
+        await self._rules(found)
+
+    async def _rules(self, found: dict[stage.Part, dict[str, Any]]) -> None:
+        """What the project's audit says of each real manager, by what its proxies recorded."""
+        told = await self._ask_all({"do": "record"}, ("discovery", "proxies"))
+        by_role = {asked.role: said for asked, said in told.items()}
+        if "proxies" not in by_role:
+            return
+        changes = {int(index): changed for index, changed in by_role["discovery"]["states"].items()}
+        listed = rules.states(by_role["discovery"]["workers"], changes)
+        lines = by_role["proxies"]["lines"]
+        breaks = []
+        for n, name in enumerate(self.plan.real):
+            said = found.get(self.reals[name])
+            if said is None or name in self.timeline.downs:
+                continue  # its proxies' records tell of two managers, of which each has a clock of its own
+            monotonic, own = said["clock_at"]
+            theirs = [{**line, "at": own + (line["at"] - monotonic) * self.plan.clock} for line in lines
+                      if int(line["proxy"][1:]) % len(self.plan.real) == n]
+            [versions] = said["taken"][name].values()
+            taken = [(index, own + (at - monotonic) * self.plan.clock) for index, at in versions]
+            path = self.folder / f"{name}.ini"
+            breaks += await trio.to_thread.run_sync(rules.judge, rules.book_of(path), theirs, taken, listed, own)
+        self.kept_rules = rules.summed(breaks, len(lines), sum(line["e"] == "try" for line in lines))
 
     def _finals(self, found: dict[stage.Part, dict[str, Any]]) -> dict[str, Any]:
         told = next(said for asked, said in found.items() if asked.role == "discovery")
@@ -389,11 +415,11 @@
             "false_verdicts": len(wrong), "false_shown": truth.shown(wrong), "verdicts": len(run.verdicts),
             "verdicts_missing": seen["missing"], "verdicts_uncounted": run.dropped_verdicts,
             "views_equal": run.equal_after is not None, "views_within_s": run.bounds.views_within,
-            "grace_s": round(late, 2), "list_changes": run.final.get("changes", 0),
+            "rules": run.kept_rules, "grace_s": round(late, 2), "list_changes": run.final.get("changes", 0),
             "list_lost": run.final.get("lost", []) or [], "list_disordered": run.final.get("disordered", [])},
         "validation": {"own": own, "earlier": validated}, "strained": strained,
         "valid": not why and not strained and not run.dropped_verdicts and (
-            own["valid"] if own is not None and run.plan.size <= 30 else at_small and (own is None or own["valid"]))}
+            (at_small or run.scale.name == "validate") and (own is None or own["valid"]))}
 
 
 def validated(results: Path) -> dict[str, bool]:
--- a/bench/scale/scenario.py
+++ b/bench/scale/scenario.py
@@ -13,6 +13,7 @@
 ZONES = 10  # a zone is a tenth of all
 MOST = 940  # hollow members and real ones: the largest fleet that is asked for
 REAL_MOST = 20  # real managers on one machine
+PACE = 1200  # lines a second that a real manager's channel carries; a changed configuration has up to half less
 LEFT_ALONE = 2  # hollow members that no step takes down: seeds by which those that start again find the others
 
 
@@ -186,7 +187,7 @@
                 yield Act(step.at + n * step.every, "churn", value=step.size)
         case "configure":
             for n in range(_times(step)):
-                yield Act(step.at + n * step.every, "configure", real, value=1000 + 10 * chance.randint(1, 100))
+                yield Act(step.at + n * step.every, "configure", real, value=PACE - 10 * chance.randint(1, 60))
         case "rack":
             names = tuple(chance.sample(movable, min(step.size, len(movable) // 2 or 1)))
             yield from (Act(step.at, "down", names), Act(step.at + step.lasts, "up", names))
--- a/bench/scale/stage.py
+++ b/bench/scale/stage.py
@@ -15,6 +15,7 @@
 
 from bench.scale import part
 from bench.scale.budget import RunFault
+from bench.scale.scenario import PACE
 
 ROOT = Path(__file__).parent.parent.parent
 PORTS = range(12000, 30000)  # below those that outgoing connections get
@@ -28,7 +29,7 @@
 log = json
 standing = 4
 [channel]
-lines_per_s = 1200/s
+lines_per_s = {most}/s
 message_lines = 4
 waiting_most = 40000
 transit = 20ms
@@ -103,7 +104,8 @@
                  seed: int, beat: float, pace: int) -> Path:
     """The INI of one real manager; `at` has `serves NAME` of those that serve proxies, and discovery."""
     text = MANAGER.format(serves=written(at[f"serves {me}"]), store=folder / f"store-{me}", seed=seed, pace=pace,
-                          discovery=written(at["discovery"]), me=me, key=folder / "key", beat=round(beat * 1000))
+                          most=PACE, discovery=written(at["discovery"]), me=me, key=folder / "key",
+                          beat=round(beat * 1000))
     for name in members:
         serves = at.get(f"serves {name}", at[name])
         text += f"[member {name}]\nserves = {written(serves)}\nknows = {written(at[name])}\n"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,7 +19,7 @@
 import pytest
 import trio
 
-from bench.scale import accounting, budget, discovery, part, run, scenario, stage, sweep, truth
+from bench.scale import accounting, budget, discovery, part, rules, run, scenario, stage, sweep, truth
 from bench.scale.__main__ import main
 from dunlinlug.book import BookFault
 from dunlinlug.fleet.members import codec
@@ -405,6 +405,31 @@
     assert sweep.wanted([book, first], [300], tmp_path) == [(book, 300)]
 
 
+# The rules, by the audit.
+
+def breaks(folder: Path, tries: list[tuple[float, str]], bare: tuple[float, float] = (0.0, 0.0),
+           sets: int = 1) -> list[str]:
+    """One proxy that joined at 1 s; worker w1 drains from 10 s and is ready again from 30 s."""
+    at = {"serves r0": ("127.0.0.1", 1), "discovery": ("127.0.0.1", 2), "r0": ("127.0.0.1", 3)}
+    path = stage.manager_file(folder, "r0", at, ("r0",), 1, 0.2, scenario.PACE)
+    listed = rules.states(["w0", "w1"], {100: {}, 101: {"w1": "draining"}, 102: {"w1": "ready"}})
+    lines = [rules.row(1.0, "joined", "p0"), *(rules.row(when, "try", "p0", worker=worker) for when, worker in tries),
+             rules.row(bare[0], "bare", "p0", product="read", on=True),
+             rules.row(bare[1], "bare", "p0", product="read", on=False),
+             *(rules.row(5.0, "applied", "p0", tag="4.900000 900 1", lines=900, refused="") for _ in range(sets))]
+    return [found.rule for found in rules.judge(rules.book_of(path), lines, [(100, 0.5), (101, 10.0), (102, 30.0)],
+                                                listed, 60.0)]
+
+
+def test_rules_are_judged_by_the_audit_and_breaks_are_seen(tmp_path: Path) -> None:
+    assert breaks(tmp_path, [(9.0, "w1"), (13.9, "w1"), (20.0, "w0"), (31.0, "w1")], (2.0, 7.9)) == []
+    assert breaks(tmp_path, [(14.5, "w1"), (29.0, "w1")]) == ["drain", "drain"]
+    assert breaks(tmp_path, [], (2.0, 9.0)) == ["bare"]
+    assert breaks(tmp_path, [], sets=2) == ["queue"]  # 1,800 lines at once, at a pace of 1,200 a second
+    found = rules.summed([], 4, 3)
+    assert found == {"lines": 4, "tries": 3, "bare": 0, "drain": 0, "queue": 0, "shown": []}
+
+
 # Runs that go wrong: each ends with its cause, and leaves no process.
 
 def gone(pids: list[int]) -> bool:
@@ -585,6 +610,9 @@
         assert 3 * 5 * 8 / 2 <= found["roles"][role]["messages"]["news"]["out"] <= 3 * 5 * 11 * 2
     assert found["roles"]["discovery"]["messages"]["list hollow"]["out"] >= 3 * 3
     assert found["roles"]["proxies"]["queues"] == {"joined": 3, "with_table": 3}
+    kept = found["truth"]["rules"]
+    assert kept["tries"] > 100 and kept["lines"] > kept["tries"] + 3
+    assert (kept["bare"], kept["drain"], kept["queue"]) == (0, 0, 0), kept["shown"]
 
 
 CROWD = """[scale]
