--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -204,9 +204,12 @@
     async def _show(self) -> None:
         while True:
             await trio.sleep(SHOWN)
-            now = f"{self.at():.0f} of {self.scale.length:g} s" if self.measuring else "getting ready"
-            self.say(f"{self.scale.name} {self.plan.size}: {now}, {sum(self.views.values())} members up, "
-                     f"{self._views()}, {self.peak_mb:.0f} MB, load {os.getloadavg()[0]:.1f}")
+            self.say(self._progress())
+
+    def _progress(self) -> str:
+        now = f"{self.at():.0f} of {self.scale.length:g} s" if self.measuring else "getting ready"
+        return (f"{self.scale.name} {self.plan.size}: {now}, {sum(self.views.values())} members up, "
+                f"{self._views()}, {self.peak_mb:.0f} MB, load {os.getloadavg()[0]:.1f}")
 
     # Doing.
 
@@ -274,6 +277,7 @@
         self.before = {asked: Reading(**said["reading"]) for asked, said in found.items()}
         self.datagrams.begin()
         self.begun, self.measuring = time.monotonic(), True
+        self.say(self._progress())
         acts, next_look = list(self.plan.acts), POLL
         while acts:
             due = min(acts[0].at, next_look)
@@ -352,18 +356,13 @@
         try:
             self._lay_out()
             with trio.fail_after(self.most()):
-                async with self._cast(), trio.open_nursery() as self.nursery:
-                    self.nursery.start_soon(self._show)
-                    self.nursery.start_soon(self._interrupted)
-                    took = await self._until_equal(self.bounds.ready_within)
-                    if took is None:
-                        raise RunFault(f"members did not find each other within {self.bounds.ready_within:g} s: "
-                                       f"{self._views()}")
-                    self.joined_after = took
-                    await self.wait(self.scale.settle)
-                    await self._measure()
-                    await self._judge()
-                    self.nursery.cancel_scope.cancel()
+                async with trio.open_nursery() as guard:
+                    guard.start_soon(self._interrupted)
+                    async with self._cast(), trio.open_nursery() as self.nursery:
+                        self.nursery.start_soon(self._show)
+                        await self._walk()
+                        self.nursery.cancel_scope.cancel()
+                    guard.cancel_scope.cancel()
         except* trio.TooSlowError:
             why = f"the run did not end within {self.most():.0f} s"
         except* RunFault as faults:
@@ -372,6 +371,15 @@
             self.load.append(os.getloadavg()[0])
         return why
 
+    async def _walk(self) -> None:
+        took = await self._until_equal(self.bounds.ready_within)
+        if took is None:
+            raise RunFault(f"members did not find each other within {self.bounds.ready_within:g} s: {self._views()}")
+        self.joined_after = took
+        await self.wait(self.scale.settle)
+        await self._measure()
+        await self._judge()
+
     async def _interrupted(self) -> None:
         with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
             async for number in signals:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -541,21 +541,25 @@
     return true()
 
 
-@pytest.mark.parametrize(("number", "status"), [(signal.SIGTERM, 1), (signal.SIGINT, 1), (signal.SIGKILL, -9)])
-def test_a_run_that_is_interrupted_leaves_no_process(tmp_path: Path, number: signal.Signals, status: int) -> None:
+@pytest.mark.parametrize(("number", "status", "early"), [
+    (signal.SIGTERM, 1, False), (signal.SIGINT, 1, False), (signal.SIGKILL, -9, False), (signal.SIGTERM, 1, True)])
+def test_a_run_that_is_interrupted_leaves_no_process(tmp_path: Path, number: signal.Signals, status: int,
+                                                     early: bool) -> None:
     (tmp_path / "small.ini").write_text(SMALL)
     process = subprocess.Popen([sys.executable, "-m", "bench.scale", "run", str(tmp_path / "small.ini"), "--results",
                                 str(tmp_path)], cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True,
                                env={**os.environ, "TMPDIR": str(tmp_path)})
     try:
         assert process.stderr is not None
-        while " of 20 s" not in process.stderr.readline():  # it is measuring; at its end readline gives nothing
+        if early:
+            assert wait_for(lambda: len(children(process.pid)) >= 2, 20.0)
+        while not early and " of 20 s" not in process.stderr.readline():  # it is measuring; readline has an end
             assert process.poll() is None
         pids = children(process.pid)
-        assert len(pids) == 4
+        assert early or len(pids) == 4
         process.send_signal(number)
         assert process.wait(30) == status
-        assert wait_for(lambda: gone(pids), 10.0)
+        assert wait_for(lambda: gone(pids) and not children(process.pid), 10.0)
         said = process.stderr.read()
     finally:
         process.kill()
@@ -564,7 +568,7 @@
     assert partial.exists() == (status == 1) and not (tmp_path / "small-4-s1.json").exists()
     if status == 1:
         assert f"ended early: interrupted by {number.name}" in said
-        assert json.loads(partial.read_text())["span_s"] > 0
+        assert (json.loads(partial.read_text())["span_s"] > 0) is not early
         assert not list(tmp_path.glob("scale-*"))  # its own folder is gone
 
 
