--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -61,7 +61,7 @@
     parser.add_argument("files", nargs="*", type=Path)
     parser.add_argument("--sizes", default="", help="only these, as 30,100")
     parser.add_argument("--results", type=Path, default=RESULTS)
-    given = parser.parse_args(words)
+    given = parser.parse_intermixed_args(words)  # files may stand behind options as well as before them
     if given.command == "report":
         return report(given.results)
     try:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -68,8 +68,9 @@
     with pytest.raises(BookFault, match=said.replace("'", ".")) as caught:
         scenario.read(path)
     assert str(caught.value).startswith(f"{path}:{line}: ")
-    assert main(["run", str(path), "--results", str(tmp_path)]) == 2
-    assert capsys.readouterr().err == f"bench.scale: {caught.value}\n"
+    for words in (["run", str(path), "--results", str(tmp_path)], ["sweep", "--results", str(tmp_path), str(path)]):
+        assert main(words) == 2
+        assert capsys.readouterr().err == f"bench.scale: {caught.value}\n"
 
 
 def test_scenarios_that_are_kept_can_be_read_and_planned() -> None:
