Scale rig: hollow members begin together, after all of them are made

Cause: in a trial with 600 members two said that one had failed which their process was faster to start than its. Change: a process makes its members first and begins them when all processes have; each at its own time within a beat, and not taking its making for a stop.

--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -65,6 +65,7 @@
         self.held: tuple[int, str] = (0, "")  # the list's version and its body's print
         self.beyond: frozenset[str] = frozenset()
         self.follows = name in told["followers"]
+        self.first: Membership | None = self._made()  # before any runs: it takes long where all know each other
 
     def _made(self) -> Membership:
         self.born += 1
@@ -79,20 +80,27 @@
         self.opener = part.instrument(made, self.meter, self.watch)
         if self.born == 1 and self.told["joined"]:
             self._acquainted(made.machine)
-        self.membership = made
-        self.stand_beyond(self.beyond)
         return made
 
     def _acquainted(self, machine: Machine) -> None:
         """As after a long time together: all hollow members are known, and nothing of them is left to be told."""
         now = trio.current_time()
-        for name in self.told["hollow"]:
-            if name != self.name:
-                machine.table.take(Told(name, (1, 0), ALIVE, self.places[name], name))
-                machine.peers[name] = Peer(now)
+        for told in msgspec.msgpack.decode(self.told["acquaintance"], type=list[Told]):
+            if told.name != self.name:
+                machine.table.told[told.name] = told
+                machine.peers[told.name] = Peer(now)
         machine.table.waiting.clear()
         machine.state = "alive"
 
+    def _begin(self, machine: Machine) -> None:
+        """From now on, each at its own time within a beat. Danger: made some seconds ago, it would count that as time
+        in which it was stopped, and distrust itself."""
+        now = trio.current_time()
+        machine.exchange_at += now - machine.now
+        machine.now = machine.due = now
+        machine.beat_at = now + machine.chance.uniform(0.0, machine.beat)
+        machine.knock_at = machine.beat_at
+
     def stand_beyond(self, names: frozenset[str]) -> None:
         self.beyond = names
         if self.membership is not None:
@@ -108,7 +116,10 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Until stopped. Raises OSError if its place is taken."""
-        membership = self._made()
+        membership, self.first = self.first or self._made(), None
+        self._begin(membership.machine)
+        self.membership = membership
+        self.stand_beyond(self.beyond)
         with trio.CancelScope() as self.scope:
             async with trio.open_nursery() as nursery:
                 await nursery.start(membership.run)
@@ -161,6 +172,9 @@
     def __init__(self, told: Mapping[str, Any], nursery: trio.Nursery) -> None:
         self.meter, self.watch, self.verdicts = Meter(), part.Stopwatch(), part.Verdicts()
         self.nursery = nursery
+        known = [Told(name, (1, 0), ALIVE, (told["places"][name][0], told["places"][name][1]), name)
+                 for name in told["hollow"]]
+        told = {**told, "acquaintance": msgspec.msgpack.encode(known)}
         self.members = {name: HollowMember(name, told, self.meter, self.watch, self.verdicts)
                         for name in told["names"]}
 
@@ -209,8 +223,6 @@
     async with trio.open_nursery() as nursery:
         crowd = Crowd(told, nursery)
         try:
-            for member in crowd.members.values():
-                await nursery.start(member.run)
             part.say(did="ready")
             await part.commands(crowd.obey)
         except* OSError as faults:
--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -117,6 +117,8 @@
             async with trio.open_nursery() as nursery:
                 for one in self.parts[1:]:
                     nursery.start_soon(one.ready, ready)
+            # Danger: begun one process after the other, those that run would take those that don't yet for dead.
+            await self._ask_all({"do": "up", "names": self.plan.hollow}, ("hollow",))
             if self.plan.real and self.book.one(scenario.Proxies).count:
                 proxies = await self._start("proxies", "proxies", (), {
                     "managers": [self.places[f"serves {name}"] for name in self.plan.real],
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -18,12 +18,13 @@
 
 import pytest
 import trio
+import trio.testing
 
-from bench.scale import accounting, budget, discovery, part, rules, run, scenario, stage, sweep, truth
+from bench.scale import accounting, budget, discovery, hollow, part, rules, run, scenario, stage, sweep, truth
 from bench.scale.__main__ import main
 from dunlinlug.book import BookFault
 from dunlinlug.fleet.members import codec
-from dunlinlug.fleet.members.words import ALIVE, Ping, Told
+from dunlinlug.fleet.members.words import ALIVE, Late, Ping, Send, Told
 
 ROOT = Path(__file__).parent.parent
 SMALL = """[scale]
@@ -406,6 +407,36 @@
     assert sweep.wanted([book, first], [300], tmp_path) == [(book, 300)]
 
 
+# Hollow members.
+
+async def test_hollow_members_begin_as_old_acquaintances_and_none_takes_its_making_for_a_stop(
+        autojump_clock: trio.testing.MockClock) -> None:
+    names = [f"h{n}" for n in range(40)]
+    given = {"names": names, "hollow": names, "places": {name: ["127.0.0.1", n + 1] for n, name in enumerate(names)},
+             "key": "00" * 32, "beat": 0.2, "seed": 1, "joined": True, "followers": names[:3], "discovery": None}
+    async with trio.open_nursery() as nursery:
+        crowd = hollow.Crowd(given, nursery)
+        made = [member.first for member in crowd.members.values()]
+        assert all(membership is not None for membership in made)
+        machines = [membership.machine for membership in made if membership is not None]
+        assert len({machine.table.digest() for machine in machines}) == 1
+        assert all(len(machine.table.living()) == 40 and not machine.table.fresh() for machine in machines)
+        late = machines[0]
+        await trio.sleep(30.0)  # as long as the making of all the others takes
+        assert any(isinstance(order, Late) for order in late.tick(trio.current_time()))
+        beats = set[float]()
+        for member, machine in list(zip(crowd.members.values(), machines, strict=True))[1:]:
+            member._begin(machine)
+            beats.add(machine.beat_at)
+            assert 0.0 <= machine.beat_at - trio.current_time() <= 0.2
+            orders = machine.tick(machine.beat_at)
+            assert not any(isinstance(order, Late) for order in orders) and any(
+                isinstance(order, Send) and isinstance(order.message, Ping) for order in orders)
+        assert len(beats) > 30  # a process of them does not probe as one
+        assert (await crowd.obey({"do": "report"}))["members"] == 0
+    assert [name for name, member in crowd.members.items() if member.follows] == names[:3]
+
+
 # The rules, by the audit.
 
 def breaks(folder: Path, tries: list[tuple[float, str]], bare: tuple[float, float] = (0.0, 0.0),
