Scale rig: all members begin as old acquaintances, real ones' joining is not measured

Cause: ordinary churn at 300 members was not valid: real managers were in no round of the hollow ones yet (75 pings heard in 30 s, hollow ones 150), and told on the 295 they had just met (158 KB of pings in 30 s, hollow ones 69). Change: hollow members know the real ones from the start; a real one drops what is left of its joining when the fleet has settled.

--- a/bench/scale/real.py
+++ b/bench/scale/real.py
@@ -1,7 +1,8 @@
 """A real manager, `dunlinlug manager FILE.ini` as it is, on the rig's clock, with its members' words counted.
 
-Added are the counts round its codec, the processor time of its members' part, and answers on standard output; nothing
-is left out. It is stopped by SIGTERM or the close of its input, and reloads at SIGHUP, as any manager.
+Added are the counts round its codec, the processor time of its members' part, and answers on standard output. Told that
+the fleet has settled, it drops what it has left to tell of its joining: that takes minutes with hundreds of members,
+and hollow ones begin without. It is stopped by SIGTERM or the close of its input, and reloads at SIGHUP, as any.
 """
 
 import json
@@ -80,6 +81,9 @@
                     "held": {me: (self.follower.state.index, json.dumps(prints(known)) if known else "")}}
         membership = self.membership
         assert membership is not None
+        if command["do"] == "settled":
+            membership.machine.table.waiting.clear()
+            return {"did": "settled"}
         said = part.member_said(membership)
         reading = part.own_reading(self.meter, self.stopwatch.spent)
         return {"did": "report", "at": time.monotonic(), "reading": asdict(reading), "members": 1,
--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -138,7 +138,7 @@
         for n, start in enumerate(range(0, len(hollow), per)):
             names = hollow[start:start + per]
             await self._start(f"hollow-{n}", "hollow", names, {
-                "names": names, "hollow": hollow, "places": everyone, "key": self.key, "beat": self.scale.beat,
+                "names": names, "known": list(everyone), "places": everyone, "key": self.key, "beat": self.scale.beat,
                 "joined": self.members.joined, "followers": [name for name in names if name in following]})
 
     # Looking.
@@ -379,6 +379,8 @@
             raise RunFault(f"members did not find each other within {self.bounds.ready_within:g} s: {self._views()}")
         self.joined_after = took
         await self.wait(self.scale.settle)
+        if self.members.joined:
+            await self._ask_all({"do": "settled"}, ("real",))
         await self._measure()
         await self._judge()
 
