CPU at the machine's best pace: a fixed piece of work before and after each play

Cause: other work slowed the module's plays by up to a half, so that fits spread by a quarter. Change: each play notes the CPU of a fixed piece of work around it, and the page tells CPU at the least of them; of two plays the one at the better pace counts.

--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -133,6 +133,9 @@
 }
 
 
+SIMULATED = frozenset({"last", "heal", "in_force"})  # seconds of a simulated clock, which no load changes
+
+
 class Data:
     """What the runs wrote, by series; each slope is fitted once."""
 
@@ -143,13 +146,17 @@
         self.runs = {path.stem: json.loads(path.read_text()) for path in sorted(folder.glob("*.json"))
                      if not path.stem.startswith("slope-")}
         self.fitted = cache(self._fitted)
+        paces = [row["pace"] for series in self.series.values() for row in (*series["points"], *series["held"])
+                 if "pace" in row]
+        self.quickest = min(paces, default=1.0)  # CPU is told at the pace of the machine's best moment
 
     def _rows(self, slope: Slope, kind: str) -> list[dict[str, float]]:
         rows = [row for row in self.series.get(slope.series, {}).get(kind, ()) if slope.field in row
                 and all(row[key] == value for key, value in slope.where.items())
                 and all(row[key] >= value for key, value in slope.besides.items())]
-        return [{**row, "y": row[slope.field], **({"others": row["members"] - 1} if "members" in row else {})}
-                for row in rows]
+        paced = slope.unit == "s" and slope.field not in SIMULATED
+        return [{**row, "y": row[slope.field] * (self.quickest / row.get("pace", self.quickest) if paced else 1.0),
+                 **({"others": row["members"] - 1} if "members" in row else {})} for row in rows]
 
     def _fitted(self, key: str) -> Fitted | None:
         """None where nothing was measured, or what was can't be fitted."""
@@ -479,11 +486,13 @@
     """When and on what each series was measured."""
     rows = []
     for name, series in data.series.items():
-        loads = [row["load"] for row in (*series["points"], *series["held"])]
+        rows_of = (*series["points"], *series["held"])
+        loads, paces = [row["load"] for row in rows_of], [row.get("pace", data.quickest) for row in rows_of]
         rows.append([name, series["about"], series["measured"], f"{len(series['points'])} + {len(series['held'])}",
                      f"{series['seconds']:g} s", f"{min(loads):g} to {max(loads):g} of {series['cores']} cores",
-                     series["python"]])
-    return table(("series", "what a point is", "date", "points + held out", "took", "load", "Python"), rows)
+                     f"{min(paces) / data.quickest:.2f} to {max(paces) / data.quickest:.2f}", series["python"]])
+    return table(("series", "what a point is", "date", "points + held out", "took", "load",
+                  "CPU of the fixed work, of its least", "Python"), rows)
 
 
 def six(data: Data) -> str:
@@ -532,13 +541,15 @@
         others = [next((row for row in (*series["points"], *series["held"]) if all(
             row[name] == size for name, size in sizes.items())), None) for series in found.values()]
         for field in COMPARED:
-            cells.append(", ".join(amount(row[field], units[field]) if row else "not played" for row in others))
+            cells.append(", ".join("not played" if row is None else amount(
+                row[field] * (data.quickest / row.get("pace", data.quickest) if units[field] == "s" else 1.0),
+                units[field]) for row in others))
         rows.append(cells)
     head = (f"{field} ({', '.join(found)})" for field in COMPARED)
     return table(("workers", "products", "proxies", "reports/s", *head), rows)
 
 
-SETTLED = ("messages", "bytes", "cpu")
+SETTLED = ("messages", "bytes")
 
 
 def settled(data: Data) -> str:
@@ -549,7 +560,7 @@
     for size, joined in true.items():
         cells = [f"{amount(ours[size][field], unit)}, {amount(joined[field], unit)}, "
                  f"{ours[size][field] / joined[field] - 1:+.0%}"
-                 for field, unit in zip(SETTLED, ("", "bytes", "s"), strict=True)] if size in ours else []
+                 for field, unit in zip(SETTLED, ("", "bytes"), strict=True)] if size in ours else []
         rows.append([number(size), *cells])
     return table(("members", *(f"{field}: settled, joined a minute ago, off" for field in SETTLED)), rows)
 
--- a/bench/scale/slopes.py
+++ b/bench/scale/slopes.py
@@ -4,8 +4,9 @@
 
 Without names all are measured, in some ten minutes. Each writes `results/slope-NAME.json`: its points, with the sizes
 and the load of the machine at the time, and the points that were held out, which no fit sees. CPU is process time of
-one core of the machine that measured; workers, proxies, collectors and members are simulated, no socket is opened.
-`module` writes under the text's name too, so that two texts of the decision module stand beside each other.
+one core of the machine that measured, and beside it stands the pace: the CPU of a fixed piece of work before and after
+the play. Workers, proxies, collectors and members are simulated, no socket is opened. `module` writes under the text's
+name too, so that two texts of the decision module stand beside each other.
 `--small` plays small sizes alone and writes nothing: for a look while one works at a part.
 """
 
@@ -57,6 +58,7 @@
 PACE, HEAD, MOST, HEARD = 1300.0, 4.0, 30, 80.0  # a manager's channel and what it hears, as in bench/crowd.py
 JOINED, USUAL, REPLACED, END = 1.0, 3.0, 6.0, 9.0  # seconds: joins, the ordinary ones from, replacements, the end
 BAD = 8  # one worker of so many is bad, as in bench/crowd.py
+PACED = 200  # times that the fixed piece of work is done: a tenth of a second before and after each play
 REPEATED, GOES = 0.1, 5  # seconds of CPU for which a short step is repeated, and how often: the least of them counts
 
 
@@ -699,8 +701,8 @@
 # What is played, at which sizes.
 
 class Series(NamedTuple):
-    """`about` says what a point is; the fits see `points`, and none of them `held`. Of several plays of a size the
-    lesser counts, figure by figure: other work on the machine only adds, and what is simulated is the same in each."""
+    """`about` says what a point is; the fits see `points`, and none of them `held`. Of several plays of a size the one
+    counts in which the machine's pace was best."""
 
     about: str
     play: Callable[[Case], Found]
@@ -766,11 +768,27 @@
 }
 
 
+def pace() -> float:
+    """Seconds of CPU of a fixed piece of work, as it goes just now: a core that is shared does less in a second."""
+    chance, began = Random(1), time.thread_time()
+    for _ in range(PACED):
+        values = [chance.random() for _ in range(1000)]
+        kept = {n: value for n, value in enumerate(values) if value > 0.5}
+        sum(kept.get(n, 0.0) * value for n, value in enumerate(sorted(values)))
+    return (time.thread_time() - began) / PACED
+
+
+def paced(play: Callable[[Case], Found], case: Case) -> Found:
+    before = pace()
+    found = play(case)
+    return {**found, "pace": (before + pace()) / 2}
+
+
 def played(play: Callable[[Case], Found], case: Case) -> Found:
     """In a process of its own, so that its memory is its own; with the machine's load before it."""
     load = os.getloadavg()[0]
     with multiprocessing.get_context("spawn").Pool(1) as pool:
-        return {**case, **{key: rounded(value) for key, value in pool.apply(play, (case,)).items()},
+        return {**case, **{key: rounded(value) for key, value in pool.apply(paced, (play, case)).items()},
                 "load": round(load, 1)}
 
 
@@ -785,9 +803,8 @@
     for go in range(series.plays):  # each size once before any is played twice, as the machine's load comes and goes
         for kind, cases in (("points", series.points), ("held", series.held)):
             for n, case in enumerate(cases):
-                found, before = played(series.play, case), rows[kind][n]
-                rows[kind][n] = {key: min(value, before.get(key, value)) for key, value in found.items()}
-                rows[kind][n]["load"] = max(found["load"], before.get("load", 0.0))
+                found = played(series.play, case)
+                rows[kind][n] = min(found, rows[kind][n] or found, key=lambda row: row["pace"])
                 print(f"{name} {go + 1} of {series.plays}: {json.dumps(found)}", flush=True)
     whole = {"name": name, "about": series.about, "measured": time.strftime("%Y-%m-%d", time.gmtime()),
              "cores": os.cpu_count(), "python": platform.python_version(), "seconds": round(time.time() - began, 1),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -143,6 +143,23 @@
     assert page.render(text, page.Data(results)) != text
 
 
+def test_a_cost_met_at_half_the_pace_counts_half_and_bytes_count_whole(results: Path) -> None:
+    for series, field, key in (("guard", "cpu", "guard CPU"), ("table", "bytes", "table bytes")):
+        path, quickest = results / f"slope-{series}.json", page.Data(results).quickest
+        whole = json.loads(path.read_text())
+        rows = [*whole["points"], *whole["held"]]
+        for row in rows:
+            row["pace"] = quickest
+        path.write_text(json.dumps(whole))
+        before = page.Data(results).fitted(key)
+        for row in rows[::2]:
+            row["pace"], row[field] = 2 * quickest, row[field] * (2 if field == "cpu" else 1)
+        path.write_text(json.dumps(whole))
+        after = page.Data(results).fitted(key)
+        assert before is not None and after is not None
+        assert after.model.coefficients == pytest.approx(before.model.coefficients)
+
+
 def test_without_a_series_its_figures_are_not_known_and_the_others_stand(results: Path) -> None:
     before = page.role(page.Data(), page.MANAGER_ROWS).splitlines()
     for path in results.glob("slope-host.json"):
