--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -65,21 +65,28 @@
 TURN = ("1", "workers", "workers*products")
 BY_PROXY = ("1", "workers", "proxies", "workers*proxies")
 USUAL, TWO = {"proxies": 20, "reports": 80}, {"products": 2, "reports": 80}
+
+
+def of_module(text: str) -> dict[str, Slope]:
+    """The slopes of one text of the decision module, which stands behind the name of each."""
+    series, about = f"module-{text}", f" ({text})"
+    usual = {"second": "second", "turn": "turn", "longest turn": "longest", "dearest": "dearest", "change": "change",
+             "rendered": "render", "rendered dearest": "render_dearest"}
+    return {
+        **{f"module {name}{about}": Slope(series, field, "s", TURN, USUAL) for name, field in usual.items()},
+        f"module second by proxies{about}": Slope(series, "second", "s", BY_PROXY, TWO),
+        f"module dearest by proxies{about}": Slope(series, "dearest", "s", BY_PROXY, TWO),
+        f"module second by reports{about}": Slope(series, "second", "s", ("1", "reports"),
+                                                  {"workers": 200, "products": 2, "proxies": 20}),
+        f"module memory{about}": Slope(series, "memory", "bytes", TURN, USUAL),
+        f"module memory by proxies{about}": Slope(series, "memory", "bytes", ("1", "workers", "proxies"), TWO),
+        f"drain in force{about}": Slope(series, "in_force", "s", ("1", "workers"), USUAL),
+    }
+
+
+TEXTS = ("before", "after")  # of the decision module: that of the choice, and the one that a turn's cost led to
 SLOPES = {
-    "module second": Slope("module-before", "second", "s", TURN, USUAL),
-    "module turn": Slope("module-before", "turn", "s", TURN, USUAL),
-    "module longest turn": Slope("module-before", "longest", "s", TURN, USUAL),
-    "module dearest": Slope("module-before", "dearest", "s", TURN, USUAL),
-    "module change": Slope("module-before", "change", "s", TURN, USUAL),
-    "module second by proxies": Slope("module-before", "second", "s", BY_PROXY, TWO),
-    "module dearest by proxies": Slope("module-before", "dearest", "s", BY_PROXY, TWO),
-    "module second by reports": Slope("module-before", "second", "s", ("1", "reports"),
-                                      {"workers": 200, "products": 2, "proxies": 20}),
-    "module memory": Slope("module-before", "memory", "bytes", TURN, USUAL),
-    "module memory by proxies": Slope("module-before", "memory", "bytes", ("1", "workers", "proxies"), TWO),
-    "orders rendered": Slope("module-before", "render", "s", TURN, USUAL),
-    "orders rendered dearest": Slope("module-before", "render_dearest", "s", TURN, USUAL),
-    "drain in force": Slope("module-before", "in_force", "s", ("1", "workers"), USUAL),
+    **of_module("before"), **of_module("after"),
     "desk second": Slope("desk", "second", "s", ("1", "workers", "workers*products", "proxies")),
     "desk dearest": Slope("desk", "dearest", "s", ("1", "workers", "workers*products", "proxies")),
     "members CPU": Slope("members", "cpu", "s", ("1", "members")),
@@ -269,15 +276,26 @@
     return Part(times, key, sizes)
 
 
+def exactly(found: Fitted, sizes: Mapping[str, float]) -> float | None:
+    """What was measured at these very sizes, if a play had them."""
+    same = [point["y"] for point in (*found.points, *found.held)
+            if all(point[name] == sizes[name] for name in NAMES if name in point and name in sizes)
+            and any(name in point for name in NAMES)]
+    return same[-1] if same else None
+
+
 def value(data: Data, row: Row) -> float | None:
-    """None where a slope that it needs is not there, or has shown that it does not carry so far."""
+    """What was measured at this size where it was played, else what its slope says; None where a slope is not there, or
+    has shown that it does not carry so far."""
     total = 0.0
     for times, key, sizes in row.parts:
-        found = data.fitted(key)
-        if found is None or broken(found, {**SIZES, **sizes}):
+        found, at = data.fitted(key), {**SIZES, **sizes}
+        if found is None:
+            return None
+        measured = exactly(found, at)
+        if measured is None and broken(found, at):
             return None
-        at = {**SIZES, **sizes}
-        total += times * found.model.at({**at, "others": at["members"] - 1})
+        total += times * (found.model.at({**at, "others": at["members"] - 1}) if measured is None else measured)
     return total if row.parts else None
 
 
@@ -290,9 +308,10 @@
 
 
 def broken(found: Fitted, sizes: Mapping[str, float]) -> bool:
-    """Danger: a slope that missed a size which was held out, carried on beyond all that was played, is a guess."""
-    worst = found.worst()
-    return worst is not None and abs(worst) > FAR and beyond(found, sizes)[0] > 1.0
+    """Danger: a slope that missed a size which was held out, carried on beyond all that was played, is a guess; one
+    that missed it by twice as much says nothing of any other size."""
+    worst = abs(found.worst() or 0.0)
+    return worst > 2 * FAR or worst > FAR and beyond(found, sizes)[0] > 1.0
 
 
 def trust(data: Data, row: Row) -> str:
@@ -303,6 +322,9 @@
             errors += [error for error in (found.worst(),) if error is not None]
             farthest = max(farthest, beyond(found, {**SIZES, **sizes}))
     worst = max(errors, key=abs, default=None)
+    fits = [(found, {**SIZES, **sizes}) for _, key, sizes in row.parts if (found := data.fitted(key)) is not None]
+    if fits and all(exactly(found, at) is not None for found, at in fits):
+        return f"played at this size; the slope {'had none' if worst is None else f'said {worst:+.0%}'}"
     words = "none held out" if worst is None else f"{worst:+.0%}" + (" **far off**" if abs(worst) > FAR else "")
     return words + (f", {farthest[0]:.2g} times the {farthest[1]} played" if farthest[1] else "")
 
@@ -313,11 +335,12 @@
         found = data.fitted(key)
         if found is None:
             return "nothing was measured"
-        if broken(found, {**SIZES, **sizes}):
+        if exactly(found, {**SIZES, **sizes}) is None and broken(found, {**SIZES, **sizes}):
             times, term = beyond(found, {**SIZES, **sizes})
             point = max((*found.points, *found.held), key=lambda point: point["y"])
-            return (f"its slope missed a held-out size by {found.worst():+.0%}, and this is {times:.2g} times the "
-                    f"{term} played; at {shown(point, found.slope)} {amount(point['y'], row.unit)} were measured")
+            farther = f", and this is {times:.2g} times the {term} played" if term else ""
+            return (f"its slope missed a held-out size by {found.worst():+.0%}{farther}; at "
+                    f"{shown(point, found.slope)} {amount(point['y'], row.unit)} were measured")
     return row.why
 
 
@@ -333,6 +356,7 @@
 SUCCESSION, GUARD, CODEC = "`fleet/succession/facts.py`", "`guard/judge.py`", "`fleet/succession/codec.py`"
 NOW, DAILY, TEN, CHANGE = "ordinary second", "ordinary day's churn", "worst ten seconds", "change of configuration"
 STATE = "state"
+ORDER = (STATE, NOW, DAILY, TEN, CHANGE)
 MEMBER_BYTES = (part("members probes bytes"), part("members facts bytes"), part("members exchange bytes"))
 READING = (part("report CPU", REPORTS), part("demand CPU", ASSUMED / 2), part("answer CPU", ASSUMED / 2))
 
@@ -349,20 +373,40 @@
 
 
 MANAGER = "manager"
+
+
+def module_rows(text: str) -> tuple[Row, ...]:
+    about, words = f" ({text})", f", text {text}"
+    return (
+        row(MANAGER, STATE, f"5,000 workers, 2 products, 20 proxies{words}", "memory",
+            (part(f"module memory{about}"),), BALANCE),
+        row(MANAGER, STATE, f"5,000 workers, 270 products, 20 proxies{words}", "memory",
+            (part(f"module memory{about}", **MANY),), BALANCE),
+        row(MANAGER, NOW, f"the module's turns, 2 products{words}", "CPU", (part(f"module second{about}"),), BALANCE),
+        row(MANAGER, NOW, f"the module's turns, 270 products{words}", "CPU",
+            (part(f"module second{about}", **MANY),), BALANCE),
+        row(MANAGER, TEN, f"dearest second of the module, 2 products{words}", "CPU",
+            (part(f"module dearest{about}"),), BALANCE),
+        row(MANAGER, TEN, f"dearest second of the module, 270 products{words}", "CPU",
+            (part(f"module dearest{about}", **MANY),), BALANCE),
+        row(MANAGER, CHANGE, f"a second in which workers are replaced, 2 products{words}", "CPU",
+            (part(f"module change{about}"),), BALANCE),
+        row(MANAGER, CHANGE, f"a drain, from discovery's word to the last proxy's answer{words}", "time",
+            (part(f"drain in force{about}"),), BALANCE),
+    )
+
+
 MANAGER_ROWS = (
+    *module_rows("before"), *module_rows("after"),
     row(MANAGER, STATE, "a process that does nothing, all features loaded", "memory", (part("empty memory"),),
         "`ads/main.py`"),
     row(MANAGER, STATE, "the same, as the platform runs it", "memory", (part("empty memory, platform"),),
         "`platform/main.py`"),
-    row(MANAGER, STATE, "5,000 workers, 2 products, 20 proxies", "memory", (part("module memory"),), BALANCE),
-    row(MANAGER, STATE, "5,000 workers, 270 products, 20 proxies", "memory", (part("module memory", **MANY),), BALANCE),
     row(MANAGER, STATE, "940 members' words, burdens, prints of lists", "memory", (part("members memory"),),
         "`fleet/members/table.py`"),
-    row(MANAGER, STATE, "all of it, 2 products", "memory", (part("empty memory"), part("module memory"),
+    row(MANAGER, STATE, "all of it, 2 products", "memory", (part("empty memory"), part("module memory (before)"),
                                                             part("members memory")), "the process"),
-    row(MANAGER, NOW, "the module's turns, 2 products", "CPU", (part("module second"),), BALANCE),
-    row(MANAGER, NOW, "the module's turns, 270 products", "CPU", (part("module second", **MANY),), BALANCE),
-    row(MANAGER, NOW, "orders rendered", "CPU", (part("orders rendered"),), ORDERS),
+    row(MANAGER, NOW, "orders rendered", "CPU", (part("module rendered (before)"),), ORDERS),
     row(MANAGER, NOW, "the xDS desk instead of it", "CPU", (part("desk second"),), "`ads/desk.py`, `xds/render.py`"),
     row(MANAGER, NOW, "the guard's judging", "CPU", (part("guard CPU"),), GUARD),
     row(MANAGER, NOW, "80 reports, 10 usages, 10 answers read", "CPU", READING, PEERS),
@@ -380,8 +424,6 @@
     row(MANAGER, DAILY, "the same, read and compared", "CPU", (part("roster whole CPU", EVERY_CHANGE),), ROSTER),
     unknown(MANAGER, DAILY, "members' bytes at 717 restarts and failures a day",
             "one a second was played, 120 times the day's: the rows for a release are an upper bound"),
-    row(MANAGER, TEN, "dearest second of the module, 2 products", "CPU", (part("module dearest"),), BALANCE),
-    row(MANAGER, TEN, "dearest second of the module, 270 products", "CPU", (part("module dearest", **MANY),), BALANCE),
     row(MANAGER, TEN, "a machine lost: members' bytes in the dearest second", "bytes",
         (part("lost, dearest bytes", lost=1),), MEMBERS),
     row(MANAGER, TEN, "a rack (20 managers) lost: the same", "bytes", (part("lost, dearest bytes", lost=RACK),),
@@ -404,11 +446,7 @@
     row(MANAGER, TEN, "a release: CPU of members' words", "CPU", (part("restart a second, CPU"),), MEMBERS),
     row(MANAGER, TEN, "a release: a manager's own start and whole list", "CPU",
         (part("start CPU"), part("discovery whole CPU"), part("table CPU")), "`platform/main.py`, " + DISCOVERY),
-    row(MANAGER, CHANGE, "a second in which workers are replaced, 2 products", "CPU", (part("module change"),),
-        BALANCE),
     row(MANAGER, CHANGE, "one entry's news taken in", "CPU", (part("discovery one CPU"),), DISCOVERY),
-    row(MANAGER, CHANGE, "a drain, from discovery's word to the last proxy's answer", "time", (part("drain in force"),),
-        BALANCE),
 )
 LEADER = "who leads or owns"
 OTHERS = "other members"
@@ -463,9 +501,16 @@
     return [entry.when, entry.what, amount(found, entry.unit), budget, shown_ratio, trust(data, entry), entry.mechanism]
 
 
+def there(data: Data, rows: Iterable[Row]) -> list[Row]:
+    """All but those of a text of the module that was not measured."""
+    absent = [f"({text})" for text in TEXTS[1:] if f"module-{text}" not in data.series]
+    return [entry for entry in rows if not any(key.endswith(text) for _, key, _ in entry.parts for text in absent)]
+
+
 def role(data: Data, rows: Iterable[Row]) -> str:
     return table(("when", "what", "at that size", "budget", "ratio", "held-out size was off", "mechanism"),
-                 [figure_row(data, entry) for entry in rows])
+                 [figure_row(data, entry)
+                  for entry in sorted(there(data, rows), key=lambda entry: ORDER.index(entry.when))])
 
 
 def others(data: Data) -> str:
@@ -475,7 +520,8 @@
 
 def ranking(data: Data) -> str:
     """All ratios above 1, the largest first; those spent at every manager apart from those of one."""
-    rows = [(found, entry) for entry in (*MANAGER_ROWS, *SIDES_ROWS) if (found := ratio(data, entry)) and found > 1]
+    rows = [(found, entry) for entry in there(data, (*MANAGER_ROWS, *SIDES_ROWS))
+            if (found := ratio(data, entry)) and found > 1]
     rows.sort(key=lambda pair: (not pair[1].everywhere, -pair[0]))
     return table(("at", "ratio", "of", "when", "what", "mechanism"),
                  [["every manager" if entry.everywhere else f"one manager ({entry.role})", number(found), entry.kind,
@@ -504,9 +550,9 @@
          "follows after", LEAST, "`platform/servers.py` LEAST"),
         ("one entry's news read and folded in", "", _said(data, "discovery one CPU"), "slope"),
         ("the same from a roster that tells it whole", "", _said(data, "roster whole CPU"), "slope"),
-        ("the turn under way, and the one that decides", "2 products, twice the longest turn",
-         _said(data, "module longest turn", 2.0), "slope"),
-        ("the same with 270 products", "", _said(data, "module longest turn", 2.0, **MANY), "slope"),
+        ("the turn under way, and the one that decides", "2 products, twice the longest turn, text before",
+         _said(data, "module longest turn (before)", 2.0), "slope"),
+        ("the same with 270 products", "", _said(data, "module longest turn (before)", 2.0, **MANY), "slope"),
         ("the channel: a withdrawal to 20 proxies", f"6 lines each at {PACE:g} lines a second", line,
          "setting of `bench/crowd.py`"),
         ("the channel: a whole table of 5,000 lines to 20 proxies", f"at {PACE:g} lines a second; so small tables are "
@@ -514,7 +560,7 @@
         ("the way to a proxy and its answer", "0.5 to 1.5 times", TRANSIT, "setting of `bench/loop.py`"),
         ("the proxy takes it", "", None, "simulated proxies take it at once"),
         ("**a drain, from end to end, played**", "to the last answer of those told; 5,000 workers, 20 proxies",
-         _said(data, "drain in force"), "slope"),
+         _said(data, "drain in force (before)"), "slope"),
         ("a staged change of weights, from end to end", "two answers of every proxy and a raise", None, "not played"),
     ]
     rows = [[hop, note, "**not known**" if took is None else amount(took, "s"),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -185,6 +185,19 @@
     assert "far off" in page.trust(data, near)
 
 
+def test_a_size_that_was_played_itself_counts_as_measured_and_not_as_predicted(results: Path) -> None:
+    entry = page.row("", "", "", "CPU", (page.part("own looks CPU"),), "")
+    path = results / "slope-host.json"
+    changed(path, "held", "cpu", 50.0, only=1)
+    played = json.loads(path.read_text())["held"][1]
+    assert (played["members"], played["workers"]) == (page.MANAGERS, page.WORKERS)
+    data = page.Data(results)
+    found = data.fitted("own looks CPU")
+    assert found is not None and page.value(data, entry) == found.held[1]["y"]
+    assert page.value(data, entry) > 10 * found.model.at(page.SIZES)
+    assert "played at this size" in page.trust(data, entry)
+
+
 def test_a_page_that_lacks_a_table_is_refused() -> None:
     with pytest.raises(page.PageFault, match="ranking"):
         page.render(page.PAGE.read_text().replace("<!-- table ranking -->", ""), page.Data())
