--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -611,6 +611,25 @@
     return table(("members", *(f"{field}: settled, joined a minute ago, off" for field in SETTLED)), rows)
 
 
+CHOSEN = (
+    ("first", "the module's turns, 2 products, text before"),
+    ("first", "dearest second of the module, 2 products, text before"),
+    ("next", "members' bytes out, and as many in"),
+    ("next", "of them probes and what rides on them"),
+    ("next", "of them exchanges of all that is known"),
+    ("next", "of them facts: burden and list"),
+    ("after it", "a roster that tells it whole, in"),
+    ("beside them", "owners' log, 940 in the set: bytes out"),
+)
+
+
+def choice(data: Data) -> str:
+    """What is built first, and what next, with their figures."""
+    entries = {entry.what: entry for entry in (*MANAGER_ROWS, *SIDES_ROWS)}
+    return table(("turn", "when", "what", "at that size", "budget", "ratio", "held-out size was off", "mechanism"),
+                 [[turn, *figure_row(data, entries[what])] for turn, what in CHOSEN])
+
+
 def most(times: Mapping[str, Any] | float | None) -> str:
     """The most of a time that a run recorded, or the time itself; nothing where it was not met."""
     found = times.get("most") if isinstance(times, Mapping) else times
@@ -639,7 +658,8 @@
 
 
 TABLES = {"slopes": slopes, "settled": settled, "growth": growth, "manager": lambda data: role(data, MANAGER_ROWS),
-          "others": others, "ranking": ranking, "six": six, "rig": rig, "texts": texts, "played": played}
+          "others": others, "ranking": ranking, "choice": choice, "six": six, "rig": rig, "texts": texts,
+          "played": played}
 
 
 class PageFault(ValueError):
