--- /dev/null
+++ b/tests/standing.py
@@ -0,0 +1,201 @@
+"""What the tests of standing crossings share: manager processes before a discovery by script, and bytes in pieces that
+are each read by themselves."""
+
+import json
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from dunlinlug.standin.platform import Discovery
+from tests.fleet import free_ports
+from tests.test_crossings_process import told
+from tests.test_platform_process import ROOT, SETTINGS, Running
+from tests.test_platform_process import _alive as alive
+
+
+def listed(generation: int, *instances: dict[str, Any], reset: bool = True) -> bytes:
+    return json.dumps({"generation": generation, "reset": reset, "instances": instances},
+                      ensure_ascii=False).encode()
+
+
+def answered(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def chunked(body: bytes, size: int) -> bytes:
+    """The same by chunks of so many bytes, wherever that cuts."""
+    parts = [body[n:n + size] for n in range(0, len(body), size)]
+    return b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + b"".join(
+        b"%x\r\n%s\r\n" % (len(part), part) for part in [*parts, b""])
+
+
+class Agent:
+    """Discovery by script: `play` writes to each call's connection what it likes, and is told the call's target."""
+
+    def __init__(self, play: Callable[[trio.SocketStream, str], Awaitable[None]]) -> None:
+        self.play, self.asked, self.connections = play, list[str](), 0
+        self.more = trio.Event()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        data = b""
+        try:
+            while part := await stream.receive_some():
+                data += part
+                while b"\r\n\r\n" in data:
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    self.asked.append(head.split()[1].decode())
+                    self.more.set()
+                    self.more = trio.Event()
+                    await self.play(stream, self.asked[-1])
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return  # given up by the manager
+
+    async def calls(self, count: int, within: float = 10.0) -> None:
+        with trio.fail_after(within):
+            while len(self.asked) < count:
+                await self.more.wait()
+
+
+class Source:
+    """Discovery for any number of managers, as the protocol has it: a watch gets all that changed since its version."""
+
+    def __init__(self, *instances: dict[str, Any]) -> None:
+        self.version, self.changed = 1, trio.Event()
+        self.instances = {entry["instanceId"]: entry for entry in instances}
+        self.changes = list[tuple[int, dict[str, Any]]]()
+        self.agent = Agent(self.play)
+
+    def tell(self, *entries: dict[str, Any]) -> None:
+        self.version += 1
+        self.instances.update({entry["instanceId"]: entry for entry in entries})
+        self.instances = {name: entry for name, entry in self.instances.items() if entry["lifecycle"] != "gone"}
+        self.changes += [(self.version, entry) for entry in entries]
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def play(self, stream: trio.SocketStream, target: str) -> None:
+        _, _, query = target.partition("?")
+        if not query:
+            return await stream.send_all(answered(listed(self.version, *self.instances.values())))
+        index, wait = (int(pair.partition("=")[2]) for pair in query.split("&"))
+        with trio.move_on_after(wait / 1000):
+            while index >= self.version:
+                await self.changed.wait()
+        fresh = [entry for version, entry in self.changes if version > index]
+        await stream.send_all(answered(listed(self.version, *fresh, reset=False)))
+
+
+class Managers:
+    """Manager processes before one discovery, each with a folder, a configuration and a log of its own."""
+
+    def __init__(self, folder: Path, place: str, count: int, **more: Any) -> None:
+        self.folder, self.place, self.more = folder, place, more
+        self.ports, self.processes = free_ports(count), list[trio.Process]()  # the latter: all ever started
+        self.running: dict[int, Running] = {}
+        self.logs: list[Path] = []
+
+    def config(self, n: int) -> Path:
+        return self.folder / f"config{n}.json"
+
+    def told(self, n: int, **more: Any) -> str:
+        return json.dumps(told(self.ports[n], **{"discovery": self.place, **self.more, **more}))
+
+    async def start(self, n: int, **environment: str) -> None:
+        """Started, not awaited."""
+        if not self.config(n).exists():
+            self.config(n).write_text(self.told(n))
+        self.logs.append(log := self.folder / f"log{n}.{len(self.logs)}")
+        with log.open("wb") as out:
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", "dunlinlug.platform"], cwd=ROOT, stderr=out,
+                env={**environment, "ROUTER_CONFIG": str(self.config(n))})
+        self.processes.append(process)
+        self.running[n] = Running(process, self.ports[n], Discovery([]), self.config(n), log)
+
+    async def kill(self, n: int) -> None:
+        self.running[n].process.kill()
+        await self.running[n].process.wait()
+
+    async def end(self) -> None:
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            await process.wait()
+
+    def check(self) -> None:
+        for log in self.logs:
+            assert "Traceback" not in log.read_text() and "connection.fault" not in log.read_text()
+
+
+@asynccontextmanager
+async def managers(folder: Path, serve: Callable[[trio.SocketStream], Awaitable[None]], count: int,
+                   **more: Any) -> AsyncIterator[tuple[Managers, trio.Nursery]]:
+    """So many that have answered `alive`, before the discovery that `serve` plays; `more` is in their configuration."""
+    async with trio.open_nursery() as nursery:
+        doors = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, doors)
+        made = Managers(folder, f"127.0.0.1:{doors[0].socket.getsockname()[1]}", count, **more)
+        try:
+            for n in range(count):
+                await made.start(n)
+            for n in range(count):
+                await alive(made.running[n])
+            yield made, nursery
+            made.check()
+        finally:
+            with trio.CancelScope(shield=True):
+                await made.end()
+            nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def serving(folder: Path, serve: Callable[[trio.SocketStream], Awaitable[None]],
+                  **more: Any) -> AsyncIterator[tuple[Running, trio.Nursery]]:
+    """The same with one, which is still there at the end."""
+    async with managers(folder, serve, 1, **more) as (made, nursery):
+        yield made.running[0], nursery
+        assert made.running[0].process.poll() is None
+
+
+def _unread(stream: trio.SocketStream) -> int | None:
+    """Bytes that lie in the peer's socket, unread by its process; None where it has closed it. Both are on loopback."""
+    def written(place: tuple[str, int]) -> str:
+        return "".join(f"{int(part):02X}" for part in reversed(place[0].split("."))) + f":{place[1]:04X}"
+    try:
+        ends = f"{written(stream.socket.getpeername())} {written(stream.socket.getsockname())} "
+    except OSError:
+        return None
+    for line in Path("/proc/net/tcp").read_text().splitlines():
+        if ends in line:
+            return int(line.split()[4].partition(":")[2], 16)
+    return None
+
+
+async def in_pieces(stream: trio.SocketStream, pieces: Iterable[bytes], within: float = 8.0) -> None:
+    """Each piece is written once the peer's process has read the one before, so that each is a reading of its own."""
+    stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+    with trio.fail_after(within):
+        for piece in pieces:
+            await stream.send_all(piece)
+            while _unread(stream):
+                await trio.lowlevel.checkpoint()
+
+
+def one_by_one(data: bytes) -> list[bytes]:
+    return [data[n:n + 1] for n in range(len(data))]
+
+
+def settings(zones: tuple[str, ...] = ("a", "b"), lanes: tuple[str, str] = ("read", "book"),
+             **specifics: Any) -> dict[str, Any]:
+    return {**SETTINGS, "dcs": list(zones), "zone": zones[0],
+            "lanes": [{**lane, "name": name} for lane, name in zip(SETTINGS["lanes"], lanes, strict=True)],
+            "specifics": {**SETTINGS["specifics"], **specifics}}
+
+
+def known(*instances: dict[str, Any]) -> dict[str, Any]:
+    return {"generation": 1, "reset": True, "instances": list(instances)}
