--- a/bench/scale/slopes.py
+++ b/bench/scale/slopes.py
@@ -565,7 +565,7 @@
         state.generation = generation
         news = state.came(servers.read(body))
         assert news is not None
-        fleet.fold(news, set())
+        fleet.fold(news, set)
         orders.hear([news])
 
     return {"whole": each(lambda: take(whole, None)), "one": each(lambda: take(one, 2)), "bytes": float(len(whole)),
