--- a/bench/scale/slopes.py
+++ b/bench/scale/slopes.py
@@ -502,16 +502,34 @@
     return {name: Told(name, (1, 0), ALIVE, (name, 1), name) for name in map(name_of, range(size))}
 
 
-def play_host(case: Case) -> Found:
-    """A manager's looks at its standing, burdens, lists and evidence, with nothing changed; no socket stands."""
-    size, workers = int(case["members"]), int(case["workers"])
-    told, at = known(size), 0.0
+def hosted(size: int, clock: Callable[[], float]) -> Membership:
+    """A manager's part among so many that it has long known; no socket stands."""
+    told = known(size)
     places = {name: word.place for name, word in told.items()}
     me = name_of(0)
     host = Membership(me, 1, places, [KEY], BEAT, Random(1), lambda event, **more: None, lambda: tuple(places),
-                      clock=lambda: at)
+                      clock=clock)
     host.machine.table.told = told
     host.machine.peers = {name: members.Peer(0.0, 0.0) for name in told if name != me}
+    return host
+
+
+def play_operators(case: Case) -> Found:
+    """What `fleet show` asks of a manager: the members, who sees whom, and the last verdicts, as JSON."""
+    host, sent = hosted(int(case["members"]), lambda: 1.0), 0
+
+    def shows() -> None:
+        nonlocal sent
+        sent = len(json.dumps(host.state()))
+
+    return {"cpu": each(shows), "bytes": float(sent)}
+
+
+def play_host(case: Case) -> Found:
+    """A manager's looks at its standing, burdens, lists and evidence, with nothing changed; no socket stands."""
+    size, workers, at = int(case["members"]), int(case["workers"]), 0.0
+    host = hosted(size, lambda: at)
+    me, told = host.me, host.machine.table.told
     listed = {f"10.0.0.{n}:80": face.Worker(f"10.0.0.{n}:80", "a", "", 0, "ready", 1.0, None) for n in range(workers)}
     host.listed = lambda: listed
     prints = Lists(me, 1).due(0.0, listed)
@@ -759,6 +777,8 @@
                    [{"members": n, "workers": w} for n, w in ((30, 200), (60, 200), (200, 200), (30, 1000), (60, 2000),
                                                              (200, 1000))],
                    [{"members": 940, "workers": 200}, {"members": 940, "workers": 5000}]),
+    "operators": Series("an answer to `fleet show`", play_operators, of("members", 15, 30, 60, 120),
+                        of("members", 240, 480)),
     "discovery": Series("a whole list of discovery and one entry's news, from bytes to the books", play_discovery,
                         of("entries", 200, 500, 1000, 2000), of("entries", 5000)),
     "roster": Series("a whole list of the roster that tells it whole for any change", play_roster,
