--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -581,7 +581,7 @@
 
 def texts(data: Data) -> str:
     """The decision module's texts beside each other, as measured at each size; of one alone if there is but one."""
-    found = {name.removeprefix("module-"): series for name, series in data.series.items() if name.startswith("module-")}
+    found = {text: data.series[f"module-{text}"] for text in TEXTS if f"module-{text}" in data.series}
     units = {field: "bytes" if field == "memory" else "s" for field in COMPARED}
     rows = []
     before = found.get("before")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -198,6 +198,23 @@
     assert "played at this size" in page.trust(data, entry)
 
 
+def test_a_second_text_of_the_module_stands_beside_the_first_where_it_was_measured(results: Path) -> None:
+    before, after = results / "slope-module-before.json", results / "slope-module-after.json"
+    after.unlink(missing_ok=True)
+    alone = page.Data(results)
+    assert not any("text after" in line for line in page.role(alone, page.MANAGER_ROWS).splitlines())
+    assert "(before)" in page.texts(alone) and "after" not in page.texts(alone)
+    shutil.copy(before, after)
+    for kind in ("points", "held"):
+        changed(after, kind, "second", 0.01)
+    both = page.Data(results)
+    first, second = (page.value(both, row) for row in (*page.module_rows("before"), *page.module_rows("after"))
+                     if "the module's turns, 2 products" in row.what)
+    assert second == pytest.approx(first * 0.01)
+    assert any("text after" in line for line in page.role(both, page.MANAGER_ROWS).splitlines())
+    assert "second (before, after)" in page.texts(both)
+
+
 def test_a_page_that_lacks_a_table_is_refused() -> None:
     with pytest.raises(page.PageFault, match="ranking"):
         page.render(page.PAGE.read_text().replace("<!-- table ranking -->", ""), page.Data())
