--- a/tests/roaming.py
+++ b/tests/roaming.py
@@ -23,7 +23,6 @@
 
     port: int
     at: float
-    first_at: float = inf  # when the first order had come whole
     order_times: list[float] = field(default_factory=list)
     marks: set[int] = field(default_factory=set)
     bytes_after: int = 0  # of an order begun and never ended
@@ -135,7 +134,6 @@
                 self.tables[lane] = {name: weight for name, weight in table.items() if weight}
                 self.admits[lane] = part.get("admit", 1.0 if part.get("full") else self.admits[lane])
             self.shut = (self.shut | {*part.get("eject", ())}) - {*part.get("restore", ())}
-        stream.first_at = min(stream.first_at, trio.current_time())
         self.joined = stream
         self._tell()
 
@@ -173,8 +171,10 @@
 
     async def at(self, proxy: Proxy, per_second: float) -> None:
         async with trio.open_nursery() as nursery:
-            while not self.over:
+            while True:
                 await trio.sleep(self.chance.expovariate(per_second))
+                if self.over:
+                    return
                 nursery.start_soon(self._ask, proxy)
 
     async def _ask(self, proxy: Proxy) -> None:
@@ -199,6 +199,11 @@
                     return (await stream.receive_some()).decode() or "failed"
             await proxy.changed.wait()
 
+    async def until_answered(self, count: int) -> None:
+        with trio.fail_after(8.0):
+            while len(self.answers) < count:
+                await trio.sleep(0.005)
+
     async def finish(self) -> None:
         """No more are made; checks that each had its one answer and its one effect."""
         self.over = True
