--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -117,6 +117,8 @@
             async with trio.open_nursery() as nursery:
                 for one in self.parts[1:]:
                     nursery.start_soon(one.ready, ready)
+            # Danger: begun one process after the other, those that run would take those that don't yet for dead.
+            await self._ask_all({"do": "up", "names": self.plan.hollow}, ("hollow",))
             if self.plan.real and self.book.one(scenario.Proxies).count:
                 proxies = await self._start("proxies", "proxies", (), {
                     "managers": [self.places[f"serves {name}"] for name in self.plan.real],
@@ -136,7 +138,7 @@
         for n, start in enumerate(range(0, len(hollow), per)):
             names = hollow[start:start + per]
             await self._start(f"hollow-{n}", "hollow", names, {
-                "names": names, "hollow": hollow, "places": everyone, "key": self.key, "beat": self.scale.beat,
+                "names": names, "known": list(everyone), "places": everyone, "key": self.key, "beat": self.scale.beat,
                 "joined": self.members.joined, "followers": [name for name in names if name in following]})
 
     # Looking.
@@ -204,9 +206,12 @@
     async def _show(self) -> None:
         while True:
             await trio.sleep(SHOWN)
-            now = f"{self.at():.0f} of {self.scale.length:g} s" if self.measuring else "getting ready"
-            self.say(f"{self.scale.name} {self.plan.size}: {now}, {sum(self.views.values())} members up, "
-                     f"{self._views()}, {self.peak_mb:.0f} MB, load {os.getloadavg()[0]:.1f}")
+            self.say(self._progress())
+
+    def _progress(self) -> str:
+        now = f"{self.at():.0f} of {self.scale.length:g} s" if self.measuring else "getting ready"
+        return (f"{self.scale.name} {self.plan.size}: {now}, {sum(self.views.values())} members up, "
+                f"{self._views()}, {self.peak_mb:.0f} MB, load {os.getloadavg()[0]:.1f}")
 
     # Doing.
 
@@ -274,6 +279,7 @@
         self.before = {asked: Reading(**said["reading"]) for asked, said in found.items()}
         self.datagrams.begin()
         self.begun, self.measuring = time.monotonic(), True
+        self.say(self._progress())
         acts, next_look = list(self.plan.acts), POLL
         while acts:
             due = min(acts[0].at, next_look)
@@ -352,18 +358,13 @@
         try:
             self._lay_out()
             with trio.fail_after(self.most()):
-                async with self._cast(), trio.open_nursery() as self.nursery:
-                    self.nursery.start_soon(self._show)
-                    self.nursery.start_soon(self._interrupted)
-                    took = await self._until_equal(self.bounds.ready_within)
-                    if took is None:
-                        raise RunFault(f"members did not find each other within {self.bounds.ready_within:g} s: "
-                                       f"{self._views()}")
-                    self.joined_after = took
-                    await self.wait(self.scale.settle)
-                    await self._measure()
-                    await self._judge()
-                    self.nursery.cancel_scope.cancel()
+                async with trio.open_nursery() as guard:
+                    guard.start_soon(self._interrupted)
+                    async with self._cast(), trio.open_nursery() as self.nursery:
+                        self.nursery.start_soon(self._show)
+                        await self._walk()
+                        self.nursery.cancel_scope.cancel()
+                    guard.cancel_scope.cancel()
         except* trio.TooSlowError:
             why = f"the run did not end within {self.most():.0f} s"
         except* RunFault as faults:
@@ -372,6 +373,17 @@
             self.load.append(os.getloadavg()[0])
         return why
 
+    async def _walk(self) -> None:
+        took = await self._until_equal(self.bounds.ready_within)
+        if took is None:
+            raise RunFault(f"members did not find each other within {self.bounds.ready_within:g} s: {self._views()}")
+        self.joined_after = took
+        await self.wait(self.scale.settle)
+        if self.members.joined:
+            await self._ask_all({"do": "settled"}, ("real",))
+        await self._measure()
+        await self._judge()
+
     async def _interrupted(self) -> None:
         with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
             async for number in signals:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -18,12 +18,13 @@
 
 import pytest
 import trio
+import trio.testing
 
-from bench.scale import accounting, budget, discovery, part, rules, run, scenario, stage, sweep, truth
+from bench.scale import accounting, budget, discovery, hollow, part, rules, run, scenario, stage, sweep, truth
 from bench.scale.__main__ import main
 from dunlinlug.book import BookFault
 from dunlinlug.fleet.members import codec
-from dunlinlug.fleet.members.words import ALIVE, Ping, Told
+from dunlinlug.fleet.members.words import ALIVE, Late, Ping, Send, Told
 
 ROOT = Path(__file__).parent.parent
 SMALL = """[scale]
@@ -68,8 +69,9 @@
     with pytest.raises(BookFault, match=said.replace("'", ".")) as caught:
         scenario.read(path)
     assert str(caught.value).startswith(f"{path}:{line}: ")
-    assert main(["run", str(path), "--results", str(tmp_path)]) == 2
-    assert capsys.readouterr().err == f"bench.scale: {caught.value}\n"
+    for words in (["run", str(path), "--results", str(tmp_path)], ["sweep", "--results", str(tmp_path), str(path)]):
+        assert main(words) == 2
+        assert capsys.readouterr().err == f"bench.scale: {caught.value}\n"
 
 
 def test_scenarios_that_are_kept_can_be_read_and_planned() -> None:
@@ -405,6 +407,36 @@
     assert sweep.wanted([book, first], [300], tmp_path) == [(book, 300)]
 
 
+# Hollow members.
+
+async def test_hollow_members_begin_as_old_acquaintances_and_none_takes_its_making_for_a_stop(
+        autojump_clock: trio.testing.MockClock) -> None:
+    names = [f"h{n}" for n in range(40)]
+    given = {"names": names, "known": names, "places": {name: ["127.0.0.1", n + 1] for n, name in enumerate(names)},
+             "key": "00" * 32, "beat": 0.2, "seed": 1, "joined": True, "followers": names[:3], "discovery": None}
+    async with trio.open_nursery() as nursery:
+        crowd = hollow.Crowd(given, nursery)
+        made = [member.first for member in crowd.members.values()]
+        assert all(membership is not None for membership in made)
+        machines = [membership.machine for membership in made if membership is not None]
+        assert len({machine.table.digest() for machine in machines}) == 1
+        assert all(len(machine.table.living()) == 40 and not machine.table.fresh() for machine in machines)
+        late = machines[0]
+        await trio.sleep(30.0)  # as long as the making of all the others takes
+        assert any(isinstance(order, Late) for order in late.tick(trio.current_time()))
+        beats = set[float]()
+        for member, machine in list(zip(crowd.members.values(), machines, strict=True))[1:]:
+            member._begin(machine)
+            beats.add(machine.beat_at)
+            assert 0.0 <= machine.beat_at - trio.current_time() <= 0.2
+            orders = machine.tick(machine.beat_at)
+            assert not any(isinstance(order, Late) for order in orders) and any(
+                isinstance(order, Send) and isinstance(order.message, Ping) for order in orders)
+        assert len(beats) > 30  # a process of them does not probe as one
+        assert (await crowd.obey({"do": "report"}))["members"] == 0
+    assert [name for name, member in crowd.members.items() if member.follows] == names[:3]
+
+
 # The rules, by the audit.
 
 def breaks(folder: Path, tries: list[tuple[float, str]], bare: tuple[float, float] = (0.0, 0.0),
@@ -541,21 +573,25 @@
     return true()
 
 
-@pytest.mark.parametrize(("number", "status"), [(signal.SIGTERM, 1), (signal.SIGINT, 1), (signal.SIGKILL, -9)])
-def test_a_run_that_is_interrupted_leaves_no_process(tmp_path: Path, number: signal.Signals, status: int) -> None:
+@pytest.mark.parametrize(("number", "status", "early"), [
+    (signal.SIGTERM, 1, False), (signal.SIGINT, 1, False), (signal.SIGKILL, -9, False), (signal.SIGTERM, 1, True)])
+def test_a_run_that_is_interrupted_leaves_no_process(tmp_path: Path, number: signal.Signals, status: int,
+                                                     early: bool) -> None:
     (tmp_path / "small.ini").write_text(SMALL)
     process = subprocess.Popen([sys.executable, "-m", "bench.scale", "run", str(tmp_path / "small.ini"), "--results",
                                 str(tmp_path)], cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True,
                                env={**os.environ, "TMPDIR": str(tmp_path)})
     try:
         assert process.stderr is not None
-        while " of 20 s" not in process.stderr.readline():  # it is measuring; at its end readline gives nothing
+        if early:
+            assert wait_for(lambda: len(children(process.pid)) >= 2, 20.0)
+        while not early and " of 20 s" not in process.stderr.readline():  # it is measuring; readline has an end
             assert process.poll() is None
         pids = children(process.pid)
-        assert len(pids) == 4
+        assert early or len(pids) == 4
         process.send_signal(number)
         assert process.wait(30) == status
-        assert wait_for(lambda: gone(pids), 10.0)
+        assert wait_for(lambda: gone(pids) and not children(process.pid), 10.0)
         said = process.stderr.read()
     finally:
         process.kill()
@@ -564,7 +600,7 @@
     assert partial.exists() == (status == 1) and not (tmp_path / "small-4-s1.json").exists()
     if status == 1:
         assert f"ended early: interrupted by {number.name}" in said
-        assert json.loads(partial.read_text())["span_s"] > 0
+        assert (json.loads(partial.read_text())["span_s"] > 0) is not early
         assert not list(tmp_path.glob("scale-*"))  # its own folder is gone
 
 
