--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -653,8 +653,8 @@
                 amount(role["rss_mb_per_member"] * 1e6, "bytes"))))
         cells += [most(times.get(key)) for key in ("list_at_last_s", "configured_at_last_s", "failed_seen_by_last_s",
                                                    "views_equal_s")]
-        rows.append([*cells, str(truth["false_verdicts"]),
-                     "yes" if run["valid"] else f"**no**: {'strained' if run['strained'] else run['ended']}"])
+        why = "strained" if run["strained"] else "not validated" if run["ended"] == "whole" else run["ended"]
+        rows.append([*cells, str(truth["false_verdicts"]), "yes" if run["valid"] else f"**no**: {why}"])
     return table(("scenario", "real + hollow", "workers", "clock", *(
         f"{kind}: CPU for members' words, bytes out a second, resident" for kind in ("real", "hollow")),
         "list at the last", "configuration at the last", "death seen by the last", "views equal", "false verdicts",
