Known red: a ramp of fixed steps passes what a worker bears where it stays cold for long

Cause: looked for while the settings of the test of many managers were chosen. Balancer.STEP and RAISE make a fresh worker's share 0.25 and whole after 15 s whatever Duties.warm_after, cold_share and fall_multiple say; only the storm threshold (Balancer.bears) is reckoned from them. One manager in calm, 12 warm and 8 cold workers, 0.95 asked of what the warm bear: with 120 s and 1.5 a cold one is given 0.57 where it bears 0.46 (1.24 times) at 16 s; with 16 s and 3.0, and 60 s and 1.5, never more than it bears.

--- a/tests/test_crossings_many.py
+++ b/tests/test_crossings_many.py
@@ -11,8 +11,11 @@
 from random import Random
 from typing import Any
 
+import pytest
 import trio
 
+from dunlinlug import interface as face
+from tests.helpers import Model, trade, worker
 from tests.roaming import LANES, Proxy, Requests, Workers
 from tests.standing import Managers, Source, known, managers, settings
 from tests.test_platform_process import SETTINGS, ZONES, instance
@@ -206,3 +209,20 @@
         await fleet.requests.finish()
         assert not any(proxy.faults for proxy in fleet.proxies)
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(("cold", "multiple"), [(16.0, 3.0), (60.0, 1.5), (120.0, 1.5)])
+def test_a_ramp_gives_no_more_than_a_cold_worker_bears_by_the_settings(cold: float, multiple: float) -> None:
+    """In calm, by one manager for all proxies. Danger: a ramp of fixed steps reaches the whole share in 15 s, however
+    long workers stay cold and however little they bear meanwhile."""
+    model = Model(trade(duties=face.Duties(5.0, 3.0, 10.0, cold, 0.2, multiple, 2.0)))
+    fleet = [worker(n, since=None if n < WARM else 0.0) for n in range(WARM + COLD)]
+    model.step(0.1, [face.Listed("kept", tuple(fleet))])
+    model.step(0.1, [face.Joined(0, "north", 5.0, True)])
+    parts = []
+    for _ in range(100):
+        model.step(0.2, [face.Met("north", one.id, 20, 0, 0.05, 0.2) for one in fleet])
+        lines = {name: weight for name, weight in model.holds[0][0][1].items() if name not in model.shut[0]}
+        given = BUSY * WARM * lines.get(fleet[-1].id, 0.0) / sum(lines.values())
+        parts.append(given / (multiple * min(0.2 + 0.8 * model.now / cold, 1.0)))
+    assert 0.0 < max(parts) <= 1.0
