--- a/bench/scale/__init__.py
+++ b/bench/scale/__init__.py
@@ -36,7 +36,8 @@
       datagrams   {dropped, longest_unread_bytes}   at members' sockets, as the kernel tells
     times
       joined_s               from the start of all until all views were equal
-      views_equal_s          from the end of the last fault until all views were equal, to a quarter of a second
+      views_equal_s          from the end of the last fault until all views were equal and still are at the end, to a
+                             second (to a quarter after the span); null if they were not within views_within_s
       failed_seen_s          {count, p50, p99, most} from a death until each other member says so
       failed_seen_by_last_s  the same until the last does
       list_at_last_s         from a change of the list until the last follower that was never stopped has it
--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -51,6 +51,7 @@
         self.peak_mb, self.dropped_verdicts = 0.0, 0
         self.configured: list[float] = []
         self.equal_after: float | None = None
+        self.equal_at = -1.0  # when all views were equal for the first time after the last fault
         self.final: dict[str, Any] = {}
         self.views: Counter[str] = Counter()
         self.kept_rules: dict[str, Any] | None = None
@@ -165,6 +166,7 @@
         self.views = Counter[str]()
         for asked, said in found.items():
             self._take(asked, said)
+        self.note_equal()
         self.datagrams.look(budget.udp_lines())
         running = [one.process.pid for one in self.parts if one.process.returncode is None]
         held = sum(budget.resident(pid) for pid in (*running, os.getpid()))
@@ -187,6 +189,11 @@
         _, living, state = next(iter(self.views)).split()
         return int(living) == self.plan.size and state == "alive"
 
+    def note_equal(self) -> None:
+        """Views may be equal while a fault stands, of which they then know nothing yet."""
+        if self.measuring and self.equal() and self.at() >= self.timeline.ended() > self.equal_at:
+            self.equal_at = self.at()
+
     async def _until_equal(self, within: float) -> float | None:
         """The rig's seconds until all views are equal; None if they were not within that time."""
         began = time.monotonic()
@@ -299,7 +306,7 @@
         """After the span: all views equal in time, and the list's last version everywhere."""
         waited = self.at() - self.timeline.ended()
         took = await self._until_equal(max(self.bounds.views_within - waited, 0.0))
-        self.equal_after = None if took is None else max(waited, 0.0) + took if self.timeline.ended() else took
+        self.equal_after = None if took is None else max(self.equal_at - self.timeline.ended(), 0.0)
         began = self.at()
         found: dict[stage.Part, dict[str, Any]] = {}
         while self.at() < began + LISTED:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -700,7 +700,8 @@
     assert said["false_verdicts"] == 0, said["false_shown"]
     assert crowd["times"]["failed_seen_s"]["count"] + said["verdicts_missing"] == 5 * 25
     assert said["verdicts_missing"] == 0 and said["verdicts_uncounted"] == 0
-    assert said["views_equal"] and not said["list_lost"] and not said["list_disordered"]
+    assert said["views_equal"] and 0 < crowd["times"]["views_equal_s"] <= said["views_within_s"]
+    assert not said["list_lost"] and not said["list_disordered"]
     assert said["list_changes"] == 6 and crowd["times"]["configured_at_last_s"]["count"] == 3
 
 
@@ -738,6 +739,28 @@
         assert not made.equal()
 
 
+def test_views_are_told_equal_from_the_first_look_after_the_last_fault(tmp_path: Path) -> None:
+    made = run.Run(book_of(tmp_path, SMALL), 4, lambda line: None)
+    made.measuring, made.begun = True, time.monotonic() - 10.0
+    views = [{"aa 4 alive": 4}, {"aa 4 alive": 3}, {"aa 4 alive": 4}, {"aa 4 alive": 4}]
+
+    def take() -> None:
+        made.views = Counter(views.pop(0))
+
+    made.timeline.down(1.0, ["h1"])
+    for expected in ("before", "apart", "equal", "later"):
+        if expected == "apart":
+            made.timeline.up(made.at(), ["h1"])
+        take()
+        made.note_equal()
+        if expected == "before":
+            assert made.equal_at == -1.0  # a fault stands
+        if expected == "equal":
+            first = made.equal_at
+            assert first >= made.timeline.ended()
+    assert made.equal_at == first
+
+
 def test_figures_without_anything_measured_are_not_valid(tmp_path: Path) -> None:
     made = run.Run(book_of(tmp_path, SMALL), 4, lambda line: None)
     made.load, made.datagrams = [0.0, 0.0], budget.Datagrams({})
