--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -131,7 +131,7 @@
     "table bytes": Slope("table", "bytes", "bytes", ("1", "workers", "products")),
     "batches written CPU": Slope("succession", "write", "s", ("1", "workers", "proxies")),
     "standby CPU": Slope("succession", "standby", "s", ("1", "workers", "workers*products", "proxies")),
-    "batches bytes": Slope("succession", "bytes", "bytes", ("1", "workers", "proxies")),
+    "batches bytes": Slope("succession", "bytes", "bytes", ("1", "proxies")),
     "whole for a standby bytes": Slope("succession", "whole", "bytes", ("1", "workers", "products", "proxies")),
     "guard CPU": Slope("guard", "cpu", "s", ("1", "workers", "proxies")),
     "members memory": Slope("memory", "memory", "bytes", ("1", "members")),
