--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -353,7 +353,7 @@
         steady = {name: [(index, self.at(at)) for index, at in versions] for name, versions in taken.items()
                   if name.split()[0] not in self.timeline.downs}
         changes = {int(index): self.at(at) for index, at in told["changes"].items() if self.at(at) > 0}
-        return {"lost": lost, "changes": len(changes), "followers": len(taken),
+        return {"lost": lost, "changes": len(changes), "followers": len({name.split()[0] for name in taken}),
                 "disordered": truth.disordered({name: [index for index, _ in versions]
                                                 for name, versions in taken.items()}),
                 "reached": truth.reached(changes, steady)}
