Scale rig: tests leave no folder behind

Cause: runs that a test only makes kept their folder in the temporary folder. Change: it lies in the test's own.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -41,6 +42,12 @@
 """
 
 
+@pytest.fixture(autouse=True)
+def own_temporary_folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a run that is only made leaves behind goes with the test."""
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+
+
 def book_of(folder: Path, text: str) -> scenario.Book:
     path = folder / "scenario.ini"
     path.write_text(text)
