--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bench.scale import run, scenario, sweep
-from dunlinlug.book import Book, BookFault
+from dunlinlug.config import Book, BookFault
 
 RESULTS = Path(__file__).parent / "results"
 
--- a/bench/scale/real.py
+++ b/bench/scale/real.py
@@ -19,7 +19,7 @@
 from dunlinlug import interface as face
 from dunlinlug import terms
 from dunlinlug.ads.main import Manager
-from dunlinlug.book import BookFault
+from dunlinlug.config import BookFault
 from dunlinlug.fleet.keys import KeyFault
 from dunlinlug.fleet.members.host import Membership
 from dunlinlug.fleet.members.lists import prints
--- a/bench/scale/rules.py
+++ b/bench/scale/rules.py
@@ -10,8 +10,8 @@
 from dunlinlug import terms
 from dunlinlug.audit import rules
 from dunlinlug.audit.records import Line, Managed, Records, Told
-from dunlinlug.book import Book
 from dunlinlug.client import Applied
+from dunlinlug.config import Book
 
 SHOWN = 5
 JUDGED = ("bare", "drain", "queue")
--- a/bench/scale/run.py
+++ b/bench/scale/run.py
@@ -20,7 +20,7 @@
 from bench.scale import accounting, budget, part, rules, scenario, stage, truth
 from bench.scale.accounting import Reading, Role
 from bench.scale.budget import RunFault
-from dunlinlug.book import Book
+from dunlinlug.config import Book
 
 POLL = 1.0  # the rig's seconds from one look at all parts to the next, and what times of views are told to
 NEAR = 0.25  # the same while something is waited for
--- a/bench/scale/scenario.py
+++ b/bench/scale/scenario.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from dunlinlug.book import Book, BookFault, Count, Seconds, Share, Words, read_book
+from dunlinlug.config import Book, BookFault, Count, Seconds, Share, Words, read_book
 
 ZONES = 10  # a zone is a tenth of all
 MOST = 940  # hollow members and real ones: the largest fleet that is asked for
--- a/bench/scale/sweep.py
+++ b/bench/scale/sweep.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from bench.scale import run, scenario
-from dunlinlug.book import Book
+from dunlinlug.config import Book
 
 
 def files(named: list[Path]) -> list[Path]:
--- a/dunlinlug/ads/main.py
+++ b/dunlinlug/ads/main.py
@@ -18,7 +18,7 @@
 from dunlinlug.ads.desk import Desk
 from dunlinlug.ads.service import Service
 from dunlinlug.balance import Balancer
-from dunlinlug.book import Book, BookFault
+from dunlinlug.config import Book, BookFault
 from dunlinlug.fleet.keys import KeyFault, read_keys
 from dunlinlug.fleet.members.burden import Burden
 from dunlinlug.fleet.members.host import Membership
--- a/dunlinlug/audit/records.py
+++ b/dunlinlug/audit/records.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from dunlinlug.book import Book
+from dunlinlug.config import Book
 from dunlinlug.day import terms
 
 Line = dict[str, Any]
--- a/dunlinlug/cli.py
+++ b/dunlinlug/cli.py
@@ -51,7 +51,7 @@
 def check(file: Path) -> None:
     """Check a manager's INI file."""
     from dunlinlug import terms
-    from dunlinlug.book import BookFault
+    from dunlinlug.config import BookFault
 
     try:
         terms.read(file)
@@ -72,7 +72,7 @@
     """Play a day and judge it; exit status 1 if a rule was broken."""
     import trio
 
-    from dunlinlug.book import BookFault
+    from dunlinlug.config import BookFault
     from dunlinlug.day.play import DayFault, Player
 
     folder = records or Path(tempfile.mkdtemp(prefix="dunlinlug-day-"))
--- a/dunlinlug/book/reader.py
+++ b/dunlinlug/config/reader.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from dunlinlug.book.units import ValueFault, converter
+from dunlinlug.config.units import ValueFault, converter
 
 T = TypeVar("T")
 
--- a/dunlinlug/day/play.py
+++ b/dunlinlug/day/play.py
@@ -17,7 +17,7 @@
 import trio
 
 from dunlinlug import terms as manager_terms
-from dunlinlug.book import Book, units
+from dunlinlug.config import Book, units
 from dunlinlug.day import terms
 from dunlinlug.day.record import Record
 from dunlinlug.day.relay import Relays, Weather
--- a/dunlinlug/day/terms.py
+++ b/dunlinlug/day/terms.py
@@ -8,7 +8,7 @@
 import attrs
 
 from dunlinlug import terms as manager_terms
-from dunlinlug.book import Address, Book, Count, PerSecond, Seconds, Share, Words, read_book
+from dunlinlug.config import Address, Book, Count, PerSecond, Seconds, Share, Words, read_book
 
 Kind = Literal["drain", "deploy", "slow", "silent", "voiding", "flapping", "answers_lost", "zone_loss", "zone_cut",
                "reconnect", "proxy_restart", "manager_kill", "manager_stall", "manager_slow", "channel_slow", "deaf",
--- a/dunlinlug/day/troubles.py
+++ b/dunlinlug/day/troubles.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from dunlinlug.book import Seconds, Share
+from dunlinlug.config import Seconds, Share
 from dunlinlug.day.terms import Faults, Trouble
 
 
--- a/dunlinlug/operators/commands.py
+++ b/dunlinlug/operators/commands.py
@@ -24,7 +24,7 @@
 def table_explain(file: Path, last: int) -> None:
     """What the guard of a manager refused, by the manager's INI file; the manager may be running or not."""
     from dunlinlug import terms
-    from dunlinlug.book import BookFault
+    from dunlinlug.config import BookFault
     from dunlinlug.kept import KeptFault, refusals
 
     try:
@@ -41,7 +41,7 @@
 
 def _asked(file: Path, method: str, path: str, word: object = None) -> Any:
     """The manager's answer; what it refuses is shown, with exit status 1."""
-    from dunlinlug.book import BookFault
+    from dunlinlug.config import BookFault
     from dunlinlug.operators.client import AskFault, ask
 
     try:
@@ -72,7 +72,7 @@
 
 def _word(product: str, weight: tuple[str, ...], only: tuple[str, ...], without: tuple[str, ...],
           lasts: str) -> dict[str, object]:
-    from dunlinlug.book import units
+    from dunlinlug.config import units
 
     weights = dict[str, float]()
     for said in weight:
@@ -194,7 +194,7 @@
 def fleet_show(file: Path, as_json: bool, watch: bool, times: int) -> None:
     """Who leads and who lags; who is there, who sees whom, our standing, and why the last verdicts fell."""
     from dunlinlug import terms
-    from dunlinlug.book import BookFault
+    from dunlinlug.config import BookFault
 
     try:
         known = bool(terms.read(file).one(terms.Members).me)
--- a/dunlinlug/standin/proxy.py
+++ b/dunlinlug/standin/proxy.py
@@ -7,8 +7,8 @@
 import trio
 
 from dunlinlug import terms as manager_terms
-from dunlinlug.book import Book
 from dunlinlug.client import Applied, Carrier, Follower, Holdings, Tally, Tried
+from dunlinlug.config import Book
 from dunlinlug.day import terms
 from dunlinlug.day.record import Record
 from dunlinlug.net import http
--- a/dunlinlug/standin/roster.py
+++ b/dunlinlug/standin/roster.py
@@ -8,7 +8,7 @@
 
 from dunlinlug import interface as face
 from dunlinlug import terms as manager_terms
-from dunlinlug.book import Book
+from dunlinlug.config import Book
 from dunlinlug.day import terms
 from dunlinlug.day.record import Record
 from dunlinlug.net import http
--- a/dunlinlug/terms.py
+++ b/dunlinlug/terms.py
@@ -6,7 +6,7 @@
 import attrs
 
 from dunlinlug import interface as face
-from dunlinlug.book import Address, Book, BookFault, Count, PerSecond, Seconds, Share, Words, read_book
+from dunlinlug.config import Address, Book, BookFault, Count, PerSecond, Seconds, Share, Words, read_book
 
 
 @attrs.frozen
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,7 +17,7 @@
 from dunlinlug.xds import names
 from dunlinlug.xds.subscriber import Applied, Holdings, Subscriber
 from tests.running import Roster, until
-from tests.test_book import manager_file
+from tests.test_config import manager_file
 
 MEMBERS = ("a", "b", "c")
 KEYS = [f"{7:064x}", f"{8:064x}"]
--- a/tests/running.py
+++ b/tests/running.py
@@ -16,7 +16,7 @@
 from dunlinlug.roster import entries
 from dunlinlug.xds import names
 from dunlinlug.xds.subscriber import Applied, Holdings, Subscriber
-from tests.test_book import manager_file
+from tests.test_config import manager_file
 
 WORKERS = tuple(face.Worker(f"127.0.0.1:{7000 + n}", "north" if n % 2 else "south", "", 0, "ready", 1.0, None)
                 for n in range(6))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,7 +12,7 @@
 from click.testing import CliRunner
 
 from dunlinlug.cli import main
-from tests.test_book import manager_file
+from tests.test_config import manager_file
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_book.py
+++ b/tests/test_config.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dunlinlug import terms
-from dunlinlug.book import BookFault
+from dunlinlug.config import BookFault
 
 GOOD = (Path(__file__).parent.parent / "days" / "first.ini").read_text()
 OWN = {*terms.SINGLE, *terms.NAMED}
--- a/tests/test_crossings_ads.py
+++ b/tests/test_crossings_ads.py
@@ -11,8 +11,8 @@
 
 from dunlinlug import rpc
 from dunlinlug.net import grpc
-from tests.test_book import manager_file
 from tests.test_cli import Process
+from tests.test_config import manager_file
 
 GOAWAY = 7
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -11,7 +11,7 @@
 import trio
 
 from dunlinlug.audit import beliefs, figures, records, rules
-from dunlinlug.book import units
+from dunlinlug.config import units
 from dunlinlug.day.play import MANAGER, DayFault, Places, Player
 from dunlinlug.fleet.owner import history
 from dunlinlug.kept import refusals
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -17,7 +17,7 @@
 from dunlinlug.net import grpc
 from dunlinlug.xds import loads, names
 from tests.running import WORKERS, Running, bound, peer, running, until
-from tests.test_book import manager_file
+from tests.test_config import manager_file
 
 
 async def test_a_joiner_is_bound_and_a_drain_reaches_it(tmp_path: Path) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,7 +23,7 @@
 
 from bench.scale import accounting, budget, discovery, hollow, part, rules, run, scenario, stage, sweep, truth
 from bench.scale.__main__ import main
-from dunlinlug.book import BookFault
+from dunlinlug.config import BookFault
 from dunlinlug.fleet.members import codec
 from dunlinlug.fleet.members.words import ALIVE, Late, Ping, Send, Told
 
