--- a/bench/scale/part.py
+++ b/bench/scale/part.py
@@ -14,6 +14,7 @@
 from dunlinlug.fleet.members import codec
 from dunlinlug.fleet.members.host import Membership
 from dunlinlug.fleet.members.words import Message
+from dunlinlug.manager.skew import Skewed
 
 Command = dict[str, Any]
 Obey = Callable[[Command], Awaitable[dict[str, Any]]]
@@ -23,22 +24,13 @@
 KINDS = {"Ping": "ping", "Ack": "ack", "Ask": "ask", "Nack": "nack", "News": "news", "Whole": "whole"}
 
 
-class Slowed(trio.abc.Clock):
+class Slowed(Skewed):
     """So many seconds of the rig pass in one true second: beats, waits and bounds of a process all go at this rate."""
 
     def __init__(self, rate: float) -> None:
         if not 0.01 <= rate <= 1.0:
             raise ValueError("the rig's clock goes at 1% to 100% of true time")
-        self.rate, self.began = rate, time.monotonic()
-
-    def start_clock(self) -> None:
-        self.began = time.monotonic()
-
-    def current_time(self) -> float:
-        return (time.monotonic() - self.began) * self.rate
-
-    def deadline_to_sleep_time(self, deadline: float) -> float:
-        return (deadline - self.current_time()) / self.rate
+        self.rate, self.began = rate, time.monotonic()  # slower than clocks of days may drift
 
 
 def first(faults: BaseException) -> BaseException:
--- a/bench/scale/proxies.py
+++ b/bench/scale/proxies.py
@@ -20,6 +20,7 @@
 from dunlinlug.xds.subscriber import Holdings, Subscriber
 
 REDIAL = 0.5  # seconds from a stream's end to the next dialling, drawn from half to one and a half of it
+OPENING = 30.0  # seconds for a stream to be opened: a manager before 5,000 workers is busy that long after its start
 PRODUCTS = ("read", "book")  # as the managers' files of the rig have them
 TRIED = 20  # workers of its table that each says each second it would send to
 ROWS = 400_000  # lines of record kept by the process: a run of an hour of the largest number of proxies planned
@@ -68,7 +69,8 @@
 
     async def _stream(self, link: grpc.Link) -> None:
         call = link.call(names.ADS)
-        await call.opened.wait()
+        with trio.fail_after(OPENING):  # Danger: taken and never answered, it would wait for the run's end
+            await call.opened.wait()
         if call.ended is not None:
             raise call.ended
         subscriber = Subscriber(self.holdings, self.name, self.zone, {"txns_per_s": RATE})
