--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -21,7 +21,7 @@
 import trio
 import trio.testing
 
-from bench.scale import accounting, budget, discovery, hollow, part, rules, run, scenario, stage, sweep, truth
+from bench.scale import accounting, budget, discovery, hollow, part, proxies, rules, run, scenario, stage, sweep, truth
 from bench.scale.__main__ import main
 from dunlinlug.config import BookFault
 from dunlinlug.fleet.members import codec
@@ -781,3 +781,26 @@
         (tmp_path / f"validate-{size}-s{n}.json").write_text(json.dumps({"sizes": {"members": size}, "valid": valid}))
     assert run.validated(tmp_path) == {"5": True, "30": False}
     assert SimpleNamespace(**run.validated(tmp_path / "none")) == SimpleNamespace()
+
+
+async def test_a_proxy_dials_again_where_its_stream_is_taken_and_never_opened(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Danger: it would wait for the run's end, and its manager's rules would be judged on nobody."""
+    monkeypatch.setattr(proxies, "OPENING", 0.05)
+    taken, again = list[trio.SocketStream](), trio.Event()
+
+    async def silent(stream: trio.SocketStream) -> None:
+        taken.append(stream)
+        if len(taken) > 1:
+            again.set()
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        doors = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, silent, doors)
+        made = proxies.HollowProxy("p0", "a", ("127.0.0.1", doors[0].socket.getsockname()[1]), accounting.Meter(),
+                                   Random(1), [])
+        nursery.start_soon(made.run)
+        with trio.fail_after(10):
+            await again.wait()
+        assert made.meter.counts["ended"] >= 1 and not made.joined
+        nursery.cancel_scope.cancel()
