--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bench.scale import run, scenario, sweep
-from dunlinlug.config import Book, BookFault
+from dunlinlug.config import Book, ConfigFault
 
 RESULTS = Path(__file__).parent / "results"
 
@@ -67,7 +67,7 @@
     try:
         sizes = [int(size) for size in given.sizes.split(",") if size]
         books = [scenario.read(path) for path in sweep.files(given.files)]
-    except (BookFault, ValueError) as fault:
+    except (ConfigFault, ValueError) as fault:
         print(f"bench.scale: {fault}", file=sys.stderr)
         return 2
     if not books:
--- a/bench/scale/real.py
+++ b/bench/scale/real.py
@@ -19,7 +19,7 @@
 from dunlinlug import interface as face
 from dunlinlug import terms
 from dunlinlug.ads.main import Manager
-from dunlinlug.config import BookFault
+from dunlinlug.config import ConfigFault
 from dunlinlug.fleet.keys import KeyFault
 from dunlinlug.fleet.members.host import Membership
 from dunlinlug.fleet.members.lists import prints
@@ -120,7 +120,7 @@
         path = Path(told["file"])
         log.set_up(terms.read(path).one(terms.Desk).log)
         manager = Counted(path)
-    except (BookFault, KeptFault, KeyFault) as fault:
+    except (ConfigFault, KeptFault, KeyFault) as fault:
         part.say(did="failed", why=f"a manager cannot use what it was given: {fault}")
         return 2
     status = 0
--- a/bench/scale/scenario.py
+++ b/bench/scale/scenario.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from dunlinlug.config import Book, BookFault, Count, Seconds, Share, Words, read_book
+from dunlinlug.config import Book, ConfigFault, Count, Seconds, Share, Words, read_book
 
 ZONES = 10  # a zone is a tenth of all
 MOST = 940  # hollow members and real ones: the largest fleet that is asked for
@@ -133,21 +133,21 @@
 
 
 def read(path: Path) -> Book:
-    """Raises BookFault, with file, line and key."""
+    """Raises ConfigFault, with file, line and key."""
     book = read_book(path, SINGLE, {"step": Step}, optional=frozenset(SINGLE) - {"scale"})
     scale, members = book.one(Scale), book.one(Members)
     for name, step in book.many(Step).items():
         if step.at + step.lasts > scale.length:
-            raise BookFault(f"{path}:{_line(path, f'[step {name}]')}: [step {name}] lasts: it ends at "
+            raise ConfigFault(f"{path}:{_line(path, f'[step {name}]')}: [step {name}] lasts: it ends at "
                             f"{step.at + step.lasts:g} s, after the run's length of {scale.length:g} s")
         steps = -(-max(map(int, scale.sizes)) // step.size)
         if step.kind == "restart" and steps * step.every > step.lasts:
-            raise BookFault(f"{path}:{_line(path, f'[step {name}]')}: [step {name}] lasts: {steps} steps, one each "
+            raise ConfigFault(f"{path}:{_line(path, f'[step {name}]')}: [step {name}] lasts: {steps} steps, one each "
                             f"{step.every:g} s, take longer than {step.lasts:g} s")
     fewest = min(map(int, scale.sizes))
     needs_hollow = any(step.kind in ("rack", "zone", "split", "restart") for step in book.many(Step).values())
     if fewest < members.real or needs_hollow and fewest - members.real < LEFT_ALONE + 1:
-        raise BookFault(f"{path}:{_line(path, 'sizes')}: [scale] sizes: {fewest} members leave no room for "
+        raise ConfigFault(f"{path}:{_line(path, 'sizes')}: [scale] sizes: {fewest} members leave no room for "
                         f"{members.real} real ones" + (" and hollow ones to take down" if needs_hollow else ""))
     return book
 
--- a/dunlinlug/ads/main.py
+++ b/dunlinlug/ads/main.py
@@ -18,7 +18,7 @@
 from dunlinlug.ads.desk import Desk
 from dunlinlug.ads.service import Service
 from dunlinlug.balance import Balancer
-from dunlinlug.config import Book, BookFault
+from dunlinlug.config import Book, ConfigFault
 from dunlinlug.fleet.keys import KeyFault, read_keys
 from dunlinlug.fleet.members.burden import Burden
 from dunlinlug.fleet.members.host import Membership
@@ -339,7 +339,7 @@
         """Take up what may change while running; a bad file, or a change that needs a restart, changes nothing."""
         try:
             fresh = terms.read(self.path)
-        except BookFault as fault:
+        except ConfigFault as fault:
             self.note("reload.refused", why=str(fault))
             return
         fixed = self._fixed(fresh)
@@ -371,7 +371,7 @@
         book = terms.read(path)
         log.set_up(book.one(terms.Desk).log)
         manager = Manager(path, book, make)
-    except (BookFault, KeptFault, TokenFault, KeyFault, TlsFault) as fault:
+    except (ConfigFault, KeptFault, TokenFault, KeyFault, TlsFault) as fault:
         print(f"dunlinlug: {fault}", file=sys.stderr)
         return 2
     try:
--- a/dunlinlug/cli.py
+++ b/dunlinlug/cli.py
@@ -51,11 +51,11 @@
 def check(file: Path) -> None:
     """Check a manager's INI file."""
     from dunlinlug import terms
-    from dunlinlug.config import BookFault
+    from dunlinlug.config import ConfigFault
 
     try:
         terms.read(file)
-    except BookFault as fault:
+    except ConfigFault as fault:
         raise BadFile(str(fault)) from None
     click.echo(f"{file}: in order")
 
@@ -72,13 +72,13 @@
     """Play a day and judge it; exit status 1 if a rule was broken."""
     import trio
 
-    from dunlinlug.config import BookFault
+    from dunlinlug.config import ConfigFault
     from dunlinlug.day.play import DayFault, Player
 
     folder = records or Path(tempfile.mkdtemp(prefix="dunlinlug-day-"))
     try:
         trio.run(Player(file, folder).play)
-    except BookFault as fault:
+    except ConfigFault as fault:
         raise BadFile(str(fault)) from None
     except DayFault as fault:
         raise click.ClickException(f"{fault}; records in {folder}") from None
--- a/dunlinlug/config/reader.py
+++ b/dunlinlug/config/reader.py
@@ -14,7 +14,7 @@
 T = TypeVar("T")
 
 
-class BookFault(Exception):
+class ConfigFault(Exception):
     """A file that cannot be used; the text is one line, ready to print."""
 
 
@@ -40,7 +40,7 @@
         try:
             text = path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as error:
-            raise BookFault(f"{path}: cannot be read: {error}") from None
+            raise ConfigFault(f"{path}: cannot be read: {error}") from None
         self.parsed = configparser.ConfigParser(interpolation=None, strict=True, comment_prefixes=("#", ";"),
                                                 inline_comment_prefixes=("#", ";"))
         self.parsed.optionxform = str  # type: ignore[assignment,method-assign]  # keys keep their case
@@ -49,7 +49,7 @@
         except configparser.Error as error:
             line = getattr(error, "lineno", None) or next((n for n, _ in getattr(error, "errors", ())), 1)
             said = " ".join(str(error).split())
-            raise BookFault(f"{path}:{line}: not an INI file: {said}") from None
+            raise ConfigFault(f"{path}:{line}: not an INI file: {said}") from None
         self.lines = self._find(text)
 
     @staticmethod
@@ -63,10 +63,10 @@
                 found.setdefault((section, key[1]), number)
         return found
 
-    def fault(self, section: str, key: str, said: str) -> BookFault:
+    def fault(self, section: str, key: str, said: str) -> ConfigFault:
         line = self.lines.get((section, key), self.lines.get((section, ""), 1))
         where = f"[{section}] {key}".rstrip()
-        return BookFault(f"{self.path}:{line}: {where}: {said}")
+        return ConfigFault(f"{self.path}:{line}: {where}: {said}")
 
 
 def _near(word: str, known: Mapping[str, Any]) -> str:
@@ -78,7 +78,7 @@
               optional: frozenset[str] = frozenset()) -> Book:
     """Read `path`; `single` has a class by section, `named` by the first word of `[word name]` sections.
 
-    Raises BookFault at the first mistake: an unknown section or key, a missing one, a value of the wrong form.
+    Raises ConfigFault at the first mistake: an unknown section or key, a missing one, a value of the wrong form.
     """
     file, named = _File(path), named or {}
     records: dict[type, dict[str, Any]] = {kind: {} for kind in named.values()}
@@ -94,7 +94,7 @@
     for section, kind in single.items():
         if kind not in records:
             if section not in optional:
-                raise BookFault(f"{path}:1: section [{section}] is missing")
+                raise ConfigFault(f"{path}:1: section [{section}] is missing")
             records[kind] = {"": _record(file, section, kind)}
     return Book(records)
 
--- a/dunlinlug/day/terms.py
+++ b/dunlinlug/day/terms.py
@@ -129,7 +129,7 @@
 
 
 def read(path: Path) -> Book:
-    """A day's or a run's file; raises BookFault."""
+    """A day's or a run's file; raises ConfigFault."""
     return read_book(path, SINGLE, NAMED, OPTIONAL)
 
 
--- a/dunlinlug/operators/client.py
+++ b/dunlinlug/operators/client.py
@@ -22,7 +22,7 @@
 
 
 def ask(file: Path, method: str, path: str, word: Any = None) -> Any:
-    """The answer's JSON; raises BookFault or AskFault."""
+    """The answer's JSON; raises ConfigFault or AskFault."""
     place = terms.read(file).one(terms.Operators)
     if not place.token_file:
         raise AskFault(f"{file}: [operators] names no token_file, so the manager opens no endpoint")
--- a/dunlinlug/operators/commands.py
+++ b/dunlinlug/operators/commands.py
@@ -24,12 +24,12 @@
 def table_explain(file: Path, last: int) -> None:
     """What the guard of a manager refused, by the manager's INI file; the manager may be running or not."""
     from dunlinlug import terms
-    from dunlinlug.config import BookFault
+    from dunlinlug.config import ConfigFault
     from dunlinlug.kept import KeptFault, refusals
 
     try:
         found = refusals(Path(terms.read(file).one(terms.Desk).store))
-    except (BookFault, KeptFault) as fault:
+    except (ConfigFault, KeptFault) as fault:
         raise BadFile(str(fault)) from None
     if not found:
         click.echo("nothing was refused")
@@ -41,12 +41,12 @@
 
 def _asked(file: Path, method: str, path: str, word: object = None) -> Any:
     """The manager's answer; what it refuses is shown, with exit status 1."""
-    from dunlinlug.config import BookFault
+    from dunlinlug.config import ConfigFault
     from dunlinlug.operators.client import AskFault, ask
 
     try:
         return ask(file, method, path, word)
-    except BookFault as fault:
+    except ConfigFault as fault:
         raise BadFile(str(fault)) from None
     except AskFault as fault:
         for refusal in (fault.said or {}).get("refusals", ()):
@@ -194,12 +194,12 @@
 def fleet_show(file: Path, as_json: bool, watch: bool, times: int) -> None:
     """Who leads and who lags; who is there, who sees whom, our standing, and why the last verdicts fell."""
     from dunlinlug import terms
-    from dunlinlug.config import BookFault
+    from dunlinlug.config import ConfigFault
 
     try:
         known = bool(terms.read(file).one(terms.Members).me)
         leads = bool(terms.read(file).one(terms.Succession).member) or not known
-    except BookFault as fault:
+    except ConfigFault as fault:
         raise BadFile(str(fault)) from None
     while True:
         state = _asked(file, "GET", "/fleet") if leads else None
--- a/dunlinlug/terms.py
+++ b/dunlinlug/terms.py
@@ -6,7 +6,7 @@
 import attrs
 
 from dunlinlug import interface as face
-from dunlinlug.config import Address, Book, BookFault, Count, PerSecond, Seconds, Share, Words, read_book
+from dunlinlug.config import Address, Book, ConfigFault, Count, PerSecond, Seconds, Share, Words, read_book
 
 
 @attrs.frozen
@@ -207,31 +207,31 @@
 
 
 def read(path: Path) -> Book:
-    """The manager's file; raises BookFault."""
+    """The manager's file; raises ConfigFault."""
     book = read_book(path, SINGLE, NAMED, optional=OPTIONAL)
     if book.one(Operators).token_file and book.one(Guarding).mode == "off":
-        raise BookFault(f"{path}:1: [operators] token_file: with [guard] mode = off no table from an operator's hand "
+        raise ConfigFault(f"{path}:1: [operators] token_file: with [guard] mode = off no table from an operator's hand "
                         "would be judged; take one of them out")
     own = book.one(Succession).member
     if own and own not in book.many(Member):
-        raise BookFault(f"{path}:1: [succession] member: no [member {own}] section says where it is")
+        raise ConfigFault(f"{path}:1: [succession] member: no [member {own}] section says where it is")
     unreached = [name for name, one in book.many(Member).items() if not one.peers[1]]
     if own and unreached and not book.one(Members).me:
-        raise BookFault(f"{path}:1: [member {unreached[0]}] peers: without [members] the others reach it there alone")
+        raise ConfigFault(f"{path}:1: [member {unreached[0]}] peers: without [members] the others reach it there alone")
     me, places = book.one(Members).me, {name: one.knows for name, one in book.many(Member).items()}
     if me and me not in places:
-        raise BookFault(f"{path}:1: [members] me: no [member {me}] section says where it is")
+        raise ConfigFault(f"{path}:1: [members] me: no [member {me}] section says where it is")
     lacks = [name for name, place in places.items() if not place[1]]
     if me and lacks:
-        raise BookFault(f"{path}:1: [member {lacks[0]}] knows: [members] needs an address of its own for that")
+        raise ConfigFault(f"{path}:1: [member {lacks[0]}] knows: [members] needs an address of its own for that")
     if me and not member_key(book):
-        raise BookFault(f"{path}:1: [members] key_file: members prove who they are; [succession] has none either")
+        raise ConfigFault(f"{path}:1: [members] key_file: members prove who they are; [succession] has none either")
     if me and own and me != own:
-        raise BookFault(f"{path}:1: [members] me = {me}, but [succession] member = {own}: one manager has one name")
+        raise ConfigFault(f"{path}:1: [members] me = {me}, but [succession] member = {own}: one manager has one name")
     if book.one(Owning).on and not me:
-        raise BookFault(f"{path}:1: [owner] on: work is owned among members; it needs [members]")
+        raise ConfigFault(f"{path}:1: [owner] on: work is owned among members; it needs [members]")
     if not book.many(Ware):
-        raise BookFault(f"{path}:1: no [product NAME] section: at least one product is needed")
+        raise ConfigFault(f"{path}:1: no [product NAME] section: at least one product is needed")
     return book
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dunlinlug import terms
-from dunlinlug.config import BookFault
+from dunlinlug.config import ConfigFault
 
 GOOD = (Path(__file__).parent.parent / "days" / "first.ini").read_text()
 OWN = {*terms.SINGLE, *terms.NAMED}
@@ -42,7 +42,7 @@
 def test_a_mistake_is_named_with_its_line(tmp_path: Path, old: str, new: str, key: str, right: str) -> None:
     path = manager_file(tmp_path, (old, new))
     line = next(n for n, text in enumerate(path.read_text().splitlines(), 1) if text.startswith(new))
-    with pytest.raises(BookFault) as caught:
+    with pytest.raises(ConfigFault) as caught:
         terms.read(path)
     said = str(caught.value)
     assert said.startswith(f"{path}:{line}: ") and key in said and right in said and "\n" not in said
@@ -50,10 +50,10 @@
 
 def test_missing_and_double_and_unreadable_are_one_line_each(tmp_path: Path) -> None:
     for change in [("bare = 4s\n", ""), ("bare = 4s\n", "bare = 4s\nbare = 5s\n"), ("deadline = 2s", "deadline = 2ms")]:
-        with pytest.raises(BookFault) as caught:
+        with pytest.raises(ConfigFault) as caught:
             terms.read(manager_file(tmp_path, change))
         assert "\n" not in str(caught.value) and "manager.ini:" in str(caught.value)
-    with pytest.raises(BookFault, match="cannot be read"):
+    with pytest.raises(ConfigFault, match="cannot be read"):
         terms.read(tmp_path / "none.ini")
 
 
@@ -70,20 +70,20 @@
 def test_each_mistake_in_who_knows_whom_has_one_clear_message(
         tmp_path: Path, members: str, section: str, said: str) -> None:
     path = manager_file(tmp_path, ("[roster]", f"[members]\n{members}\n\n{section}\n\n[roster]"))
-    with pytest.raises(BookFault) as found:
+    with pytest.raises(ConfigFault) as found:
         terms.read(path)
     assert said in str(found.value) and "\n" not in str(found.value)
 
 
 def test_work_is_owned_among_members_alone(tmp_path: Path) -> None:
     for section, said in (("on = yes", r"\[owner\] on: .* needs \[members\]"), ("beat = 500ms", "at most a third")):
-        with pytest.raises(BookFault, match=said):
+        with pytest.raises(ConfigFault, match=said):
             terms.read(manager_file(tmp_path, ("[roster]", f"[owner]\n{section}\n\n[roster]")))
 
 
 def test_without_members_succession_needs_an_address_of_each_and_with_them_none(tmp_path: Path) -> None:
     place, own = PLACE.replace("peers = 127.0.0.1:1\n", ""), "[succession]\nmember = a\nkey_file = s\n"
-    with pytest.raises(BookFault, match=r"\[member a\] peers: without \[members\]"):
+    with pytest.raises(ConfigFault, match=r"\[member a\] peers: without \[members\]"):
         terms.read(manager_file(tmp_path, ("[roster]", f"{place}\n{own}\n[roster]")))
     terms.read(manager_file(tmp_path, ("[roster]", f"{place}\n{own}\n[members]\nme = a\n\n[roster]")))
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,7 +23,7 @@
 
 from bench.scale import accounting, budget, discovery, hollow, part, proxies, rules, run, scenario, stage, sweep, truth
 from bench.scale.__main__ import main
-from dunlinlug.config import BookFault
+from dunlinlug.config import ConfigFault
 from dunlinlug.fleet.members import codec
 from dunlinlug.fleet.members.words import ALIVE, Late, Ping, Send, Told
 
@@ -73,7 +73,7 @@
                                                                text: str, line: int, said: str) -> None:
     path = tmp_path / "a.ini"
     path.write_text(text)
-    with pytest.raises(BookFault, match=said.replace("'", ".")) as caught:
+    with pytest.raises(ConfigFault, match=said.replace("'", ".")) as caught:
         scenario.read(path)
     assert str(caught.value).startswith(f"{path}:{line}: ")
     for words in (["run", str(path), "--results", str(tmp_path)], ["sweep", "--results", str(tmp_path), str(path)]):
