Slow start gives an endpoint no more than the settings say that it bears

Cause: SLOW_START_STEP and SLOW_START_INTERVAL alone made the steps; warm-up time, initial capacity and overload multiple of the settings were not in them. Excluded: the sum over managers (one manager shows the same figure).

Change: a step is at most the overload multiple times what the endpoint bears when the step begins (`SlowStart`). The weakest moment, by which a storm is judged, is reckoned over the steps as they are now.

--- a/dunlinlug/decision/parameters.py
+++ b/dunlinlug/decision/parameters.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from dunlinlug.decision.settings import AdmissionMode, ManagerSettings
-from dunlinlug.decision.slow_start import min_overload_multiple, warm_up_time
+from dunlinlug.decision.slow_start import SlowStart
 
 # The admitted fraction of a class where levels are rates: a fraction of 1 would shut a proxy.
 UNLIMITED_ADMISSION = 1e6
@@ -16,6 +16,7 @@
     class_count: int
     default_retry_policy: int
     list_poll_interval: float
+    slow_start: SlowStart
     warm_up_time: float
     # Times its weight that an endpoint bears at the weakest moment of its slow start.
     min_overload_multiple: float
@@ -34,6 +35,7 @@
     def from_settings(cls, settings: ManagerSettings) -> "DecisionParameters":
         """Derive them from a manager's settings."""
         limits = settings.safety_limits
+        slow_start = SlowStart.from_limits(limits)
         class_count = len(settings.traffic_classes)
         same_zone_classes = [
             traffic_class
@@ -46,8 +48,9 @@
             class_count=class_count,
             default_retry_policy=settings.default_retry_policy,
             list_poll_interval=limits.list_poll_interval,
-            warm_up_time=warm_up_time(limits),
-            min_overload_multiple=min_overload_multiple(limits),
+            slow_start=slow_start,
+            warm_up_time=slow_start.warm_up_time,
+            min_overload_multiple=slow_start.min_overload_multiple(),
             can_check_health=settings.can_check_health,
             is_sharded=settings.shard_count > 0,
             subset_size=settings.initial_subset_size,
--- a/dunlinlug/decision/planner.py
+++ b/dunlinlug/decision/planner.py
@@ -14,7 +14,6 @@
 from dunlinlug.decision.desired_state import DesiredState
 from dunlinlug.decision.outlier_detection import OutlierDetector
 from dunlinlug.decision.overrides import overridden_weights
-from dunlinlug.decision.slow_start import slow_start_fraction
 from dunlinlug.decision.state.desired_weights import Weights
 from dunlinlug.decision.state.outlier_statistics import sorted_median
 from dunlinlug.decision.state.tables import Table, admission_level
@@ -127,7 +126,7 @@
     A manager on the lesser side of a partition may not raise it, or not change it at all.
     """
     age = now - state.fleet.started_at[row]
-    fraction = slow_start_fraction(age, state.parameters.warm_up_time)
+    fraction = state.parameters.slow_start.fraction(age)
     # An ejected endpoint is entered at its limit on probation, so that its entry needs no change
     # when the ejection ends.
     weight_limit = state.outlier_detector.weight_limits[row] or OutlierDetector.PROBATION_LIMIT
@@ -161,7 +160,7 @@
                 row in table.weight_fractions for table in tables
             )
         age = now - state.fleet.started_at[row]
-        fraction = 0.0 if must_wait else slow_start_fraction(age, state.parameters.warm_up_time)
+        fraction = 0.0 if must_wait else state.parameters.slow_start.fraction(age)
         limits[row] = min(limits.get(row, inf), fraction)
     return limits
 
