A guard that only watches keeps malformed orders out of its account of tables

Cause: OrderValidator.validate took all orders of a watched batch into TableUsage. A retry policy of 7 then raised IndexError in DemandTotals at the next batch.

Change: orders rejected as malformed are recorded and carried out as before, but do not enter the account. Other rejected orders are followed, as proxies have them.

Evidence: nine malformed orders, each given to a watching and an enforcing guard, which must judge the next batch alike.

--- a/dunlinlug/guard/order_validator.py
+++ b/dunlinlug/guard/order_validator.py
@@ -16,7 +16,7 @@
 from dunlinlug.guard.endpoints import ListedEndpoints
 from dunlinlug.guard.load_limits import warm_up_rate_limits
 from dunlinlug.guard.order_rules import VALIDATED_ORDERS, OrderRules
-from dunlinlug.guard.rejection import Rejection
+from dunlinlug.guard.rejection import Rejection, RejectionRule
 from dunlinlug.guard.table_usage import Admission, TableContents, TableUsage
 from dunlinlug.guard.tentative_usage import CommittedState, TentativeUsage
 
@@ -39,7 +39,7 @@
     Attributes:
         settings: What the manager was given at its start.
         enforced: Whether rejected orders are held back; if not, all are carried out and the table
-            usage follows that.
+            usage follows that, but for malformed orders.
         endpoints: The endpoint list.
         usage: Which tables the proxies may be using.
         estimates: Capacity and demand.
@@ -98,7 +98,7 @@
             self.usage.apply(orders)
             return orders, []
         batch = self.preview(now, orders)
-        self.usage.apply(batch.accepted if self.enforced else orders)
+        self.usage.apply(batch.accepted if self.enforced else _well_formed(orders, batch))
         return batch.accepted, batch.rejections
 
     def preview(self, now: float, orders: list[Order]) -> ValidatedBatch:
@@ -119,3 +119,17 @@
     def rate_limits(self, now: float) -> dict[str, float]:
         """By id of a warming endpoint, the requests a second that it may be sent."""
         return warm_up_rate_limits(self._committed, now)
+
+
+def _well_formed(orders: list[Order], batch: ValidatedBatch) -> list[Order]:
+    """Return the orders without those that are malformed, by identity.
+
+    Without this, a figure that means nothing would enter the usage, and a later validation that
+    reckons with it would raise and end the manager.
+    """
+    malformed_ids = {
+        id(rejection.order)
+        for rejection in batch.rejections
+        if rejection.rule is RejectionRule.MALFORMED
+    }
+    return [order for order in orders if id(order) not in malformed_ids]
--- a/tests/guard/test_order_validator.py
+++ b/tests/guard/test_order_validator.py
@@ -6,6 +6,7 @@
 
 from dunlinlug.decision.events import (
     Acknowledged,
+    DemandReported,
     Endpoint,
     EndpointReported,
     EndpointsUpdated,
@@ -182,6 +183,42 @@
     assert rejections_of(validator, [DeleteTable(4)]) == []
 
 
+@pytest.mark.parametrize(
+    "malformed",
+    [
+        SetWeight(1, WARM[0], float("nan")),
+        SetWeight(1, WARM[0], -6.0),
+        SetWeight(1, WARM[0], float("inf")),
+        SetWeight(1, "10.9.9.9:80", 1.0),
+        SetAdmission(1, 0, 7, 1.0),
+        SetAdmission(1, 0, 1, float("nan")),
+        SetAdmission(1, 9, 1, 1.0),
+        AssignTable(0, (9,), 1),
+        SetEjected("10.9.9.9:80", True),
+    ],
+    ids=repr,
+)
+def test_in_watch_mode_a_malformed_order_is_recorded_and_later_batches_are_still_validated(
+    malformed: Order,
+) -> None:
+    """Guards against a malformed order that ends the manager at a later validation."""
+    watching = OrderValidator(manager_settings(), enforced=False)
+    enforcing = OrderValidator(manager_settings())
+    for validator in (watching, enforcing):
+        validator.handle(NOW, [listed(), ProxyConnected(0, "north", 10.0, True)])
+        table = [*set_weights(1, {WARM[0]: 1.0, WARM[1]: 5.0}), *assign(1, [0])]
+        assert rejections_of(validator, table) == []
+        assert [each.rule for each in rejections_of(validator, [malformed])] == ["form"]
+    reports = [EndpointReported("north", WARM[0], 60, 30, 0.1, 1.0)]
+    later = [*set_weights(2, {**WARM_WEIGHTS, WARMING[0]: 1.0}), *assign(2, [0])]
+    found = []
+    for validator in (watching, enforcing):
+        validator.handle(NOW, [DemandReported(0, "read", 50, 0, 1.0), *reports])
+        found.append([each.rule for each in rejections_of(validator, later)])
+    assert found[0] == found[1]
+    rejections_of(watching, [SetWeight(1, WARMING[0], 2.0), DeleteTable(2)])
+
+
 def test_a_drained_endpoint_is_not_readmitted_while_unknown_tables_may_name_it(
     validator: OrderValidator,
 ) -> None:
