What slow start goes by stays out of the state that travels to other managers

Change: DecisionState holds `slow_start`, made by every manager of its own settings and declared local like the random numbers; the wire is as it was.

--- a/dunlinlug/decision/decision_state.py
+++ b/dunlinlug/decision/decision_state.py
@@ -16,6 +16,7 @@
 from dunlinlug.decision.outlier_detection import OutlierDetector
 from dunlinlug.decision.parameters import DecisionParameters
 from dunlinlug.decision.settings import ManagerSettings
+from dunlinlug.decision.slow_start import SlowStart
 from dunlinlug.decision.state.assignments import Assignments
 from dunlinlug.decision.state.desired_weights import DesiredWeights
 from dunlinlug.decision.state.endpoints import Fleet
@@ -62,6 +63,7 @@
     def __init__(self, settings: ManagerSettings) -> None:
         self.rng = Random(settings.seed)
         self.parameters = DecisionParameters.from_settings(settings)
+        self.slow_start = SlowStart.from_limits(settings.safety_limits)
         # What is known, kept up by events: endpoints, the channel, observations, requests, proxies.
         self.fleet = Fleet(_mean)
         self.budget = ChannelBudget(settings.channel)
--- a/dunlinlug/decision/parameters.py
+++ b/dunlinlug/decision/parameters.py
@@ -16,7 +16,6 @@
     class_count: int
     default_retry_policy: int
     list_poll_interval: float
-    slow_start: SlowStart
     warm_up_time: float
     # Times its weight that an endpoint bears at the weakest moment of its slow start.
     min_overload_multiple: float
@@ -48,7 +47,6 @@
             class_count=class_count,
             default_retry_policy=settings.default_retry_policy,
             list_poll_interval=limits.list_poll_interval,
-            slow_start=slow_start,
             warm_up_time=slow_start.warm_up_time,
             min_overload_multiple=slow_start.min_overload_multiple(),
             can_check_health=settings.can_check_health,
--- a/dunlinlug/decision/planner.py
+++ b/dunlinlug/decision/planner.py
@@ -126,7 +126,7 @@
     A manager on the lesser side of a partition may not raise it, or not change it at all.
     """
     age = now - state.fleet.started_at[row]
-    fraction = state.parameters.slow_start.fraction(age)
+    fraction = state.slow_start.fraction(age)
     # An ejected endpoint is entered at its limit on probation, so that its entry needs no change
     # when the ejection ends.
     weight_limit = state.outlier_detector.weight_limits[row] or OutlierDetector.PROBATION_LIMIT
@@ -160,7 +160,7 @@
                 row in table.weight_fractions for table in tables
             )
         age = now - state.fleet.started_at[row]
-        fraction = 0.0 if must_wait else state.parameters.slow_start.fraction(age)
+        fraction = 0.0 if must_wait else state.slow_start.fraction(age)
         limits[row] = min(limits.get(row, inf), fraction)
     return limits
 
--- a/dunlinlug/fleet/election/module_state.py
+++ b/dunlinlug/fleet/election/module_state.py
@@ -103,7 +103,7 @@
         "means": "partition_limits",
         "moved": "rows_to_plan",
     },
-    local=("rng",),
+    local=("rng", "slow_start"),
 )
 
 # Objects that a fresh module has already, as it holds what does not travel; by wire name. What is
