An oversized HTTP/2 frame is refused by its head, not once it is held whole

Cause: h2 looks at a frame's length when the whole frame has arrived and buffers it until then.

Change: FrameLengthReader (rpc/frame_lengths.py, bytes in, lengths out) follows the frames and keeps at most a part of one head; Connection.receive refuses a frame over max_inbound_frame_size with h2's own error and GOAWAY.

Evidence: a frame of 16,385 bytes given by 1, 9 and 4,096 bytes.

--- a/dunlinlug/rpc/connection.py
+++ b/dunlinlug/rpc/connection.py
@@ -26,6 +26,7 @@
     MessageReceived,
     TrailersReceived,
 )
+from dunlinlug.rpc.frame_lengths import CLIENT_PREFACE_SIZE, FrameLengthReader
 from dunlinlug.rpc.framing import Deframer, FramingError, frame
 from dunlinlug.rpc.status import Status
 
@@ -71,6 +72,7 @@
                 client_side=is_client, header_encoding="utf-8", validate_outbound_headers=False
             )
         )
+        self.frame_lengths = FrameLengthReader(0 if is_client else CLIENT_PREFACE_SIZE)
         self.calls: dict[int, _CallState] = {}
         self.closed = False
         self.h2.initiate_connection()
@@ -216,6 +218,7 @@
             return []
         try:
             h2_events = self.h2.receive_data(data)
+            self._check_frame_lengths(data)
         except h2.exceptions.ProtocolError as error:
             self.closed = True
             self.calls.clear()
@@ -225,6 +228,17 @@
             events += self._handle(event)
         return events
 
+    def _check_frame_lengths(self, data: bytes) -> None:
+        """Refuse a frame by its head; raises FrameTooLargeError.
+
+        Without this, the library would hold the frame, up to 16 MiB, before it refused it.
+        """
+        max_length = self.h2.max_inbound_frame_size
+        length = self.frame_lengths.longest(data)
+        if length > max_length:
+            self.h2.close_connection(h2.errors.ErrorCodes.FRAME_SIZE_ERROR)
+            raise h2.exceptions.FrameTooLargeError(f"{length} bytes, where {max_length} may be")
+
     def _handle(self, event: h2.events.Event) -> list[Event]:
         events: list[Event] = []
         match event:
--- a/tests/rpc/test_connection.py
+++ b/tests/rpc/test_connection.py
@@ -2,6 +2,8 @@
 
 import h2.config
 import h2.connection
+import h2.errors
+import h2.events
 import pytest
 
 from dunlinlug import rpc
@@ -127,6 +129,32 @@
     assert isinstance(events[0], rpc.ConnectionClosed) and "FrameTooLarge" in events[0].reason
 
 
+@pytest.mark.parametrize("step", [1, 9, 4096])
+def test_an_oversized_frame_is_refused_by_its_head_alone(
+    client: rpc.Connection, server: rpc.Connection, step: int
+) -> None:
+    """Guards against up to 16 MiB of a bad frame being held for each connection."""
+    exchange_all(client, server)
+    largest = server.h2.max_inbound_frame_size
+    empty_settings = bytes([0, 0, 0, 4, 0, 0, 0, 0, 0])
+    head = (largest + 1).to_bytes(3, "big") + bytes([0, 0, 0, 0, 0, 1])
+    data = empty_settings + head + bytes(largest + 1)
+    taken = 0
+    while not server.closed:
+        events = server.receive(data[taken : taken + step])
+        taken += step
+    assert taken - step < len(empty_settings + head)
+    assert isinstance(events[0], rpc.ConnectionClosed) and "FrameTooLarge" in events[0].reason
+    goaway = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    goaway.initiate_connection()
+    (ended,) = [
+        event
+        for event in goaway.receive_data(server.data_to_send())
+        if isinstance(event, h2.events.ConnectionTerminated)
+    ]
+    assert ended.error_code == h2.errors.ErrorCodes.FRAME_SIZE_ERROR
+
+
 def test_an_answer_after_goaway_is_dropped(client: rpc.Connection, server: rpc.Connection) -> None:
     streams = [client.start_call("/a/b", "h") for _ in range(3)]
     exchange_all(client, server)
