An ejection that no channel takes holds back nothing else

With 200 proxies and a channel of 1,000 entries a draining endpoint stopped all table changes for good: the ejection costs 2,400 entries, so it waited, and what is less urgent was held back in 101 of 101 batches while the queue was empty.

Change: only ejections that an empty channel takes are waited for; the others are tried as before. The reference model has the same in plain form.

--- a/dunlinlug/decision/ejections.py
+++ b/dunlinlug/decision/ejections.py
@@ -35,15 +35,18 @@
         if row not in state.blocked.rows
     ]
     mandatory_rows = [row for row in ordered_rows if _is_mandatory(state, desired, row)]
-    due_count = _count_due(batch, mandatory_rows, groups_by_row)
-    due_rows = set(mandatory_rows[:due_count])
-    waiting_rows = set(mandatory_rows[due_count:])
+    # Without this, one that no channel takes would wait, and hold back all else, for ever.
+    possible_rows = [
+        row for row in mandatory_rows if _fits_empty_channel(batch, groups_by_row[row])
+    ]
+    demanded_rows = set(mandatory_rows)
+    waiting_rows = set(possible_rows[_count_due(batch, possible_rows, groups_by_row) :])
     if waiting_rows:
         # Without this, less urgent orders would take the room that comes free meanwhile.
         batch.hold_back_optional()
     for row in ordered_rows:
         if row not in waiting_rows:
-            urgency = MANDATORY if row in due_rows else HEALTH
+            urgency = MANDATORY if row in demanded_rows else HEALTH
             _order_change(state, batch, row, groups_by_row[row], urgency)
 
 
@@ -55,6 +58,12 @@
     )
 
 
+def _fits_empty_channel(batch: OrderBatch, groups: list[Group]) -> bool:
+    """Whether one ejection for these proxies is less than the whole channel takes."""
+    proxy_count = sum(map(len, groups))
+    return proxy_count * (1.0 + batch.message_overhead) <= batch.limit(Priority.MANDATORY)
+
+
 def _count_due(batch: OrderBatch, rows: list[int], groups_by_row: Mapping[int, list[Group]]) -> int:
     """Return how many of these rows, from the first, are ordered now.
 
--- a/tests/decision/test_regressions.py
+++ b/tests/decision/test_regressions.py
@@ -417,3 +417,18 @@
         model.step(0.1, events)
     assert len(model.ejected & {endpoint(n).id for n in range(20)}) == 20
     assert not model.broken
+
+
+def test_an_ejection_that_no_channel_takes_holds_back_nothing_else() -> None:
+    """Guards against one ejection too large for the whole channel blocking all other orders."""
+    channel = ChannelSettings(2000.0, 10.0, 1000.0, 0.1, 0.2, 0, 10.0)
+    model = connected_model(9, 200, channel=channel)
+    for _ in range(300):
+        model.step(0.1, [])
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(0, "draining"),))])
+    model.step(0.1, [ProxyDisconnected(p) for p in range(60)])
+    model.step(0.1, [ProxyConnected(p, ZONES[p % 3], 5.0, True) for p in range(60)])
+    for _ in range(100):
+        model.step(0.1, [])
+    (full_table,) = {model.assigned[199][product] for product in (0, 1)}
+    assert all(model.assigned[p] == {0: full_table, 1: full_table} for p in range(200))
--- a/tests/reference_model/balance.py
+++ b/tests/reference_model/balance.py
@@ -846,8 +846,10 @@
             and i in wanted.out
             and (i not in wanted.parts or self.health.cap[i] > 0.0)
         ]
-        together = self._together(reply, [[*chain.from_iterable(users[i])] for i in all_ruled])
-        later = all_ruled[together:]
+        most = self.account.channel.max_queued_entries * (1.0 - Account.KEPT_BACK[0])
+        possible = [i for i in all_ruled if sum(map(len, users[i])) * (1.0 + reply.head) <= most]
+        together = self._together(reply, [[*chain.from_iterable(users[i])] for i in possible])
+        later = possible[together:]
         reply.ruled_only = bool(later)
         for i in in_order:
             if i in later:
