Ports of tests are reserved among processes, not only found free

Cause: free_ports and bench/scale/stage.py let go of a port that they found free until a manager listened at it.

Change: tests/fixtures/ports.py locks a byte of one file for each port until the process ends, and raises where none is left; both draw through it.

--- a/bench/restart_time.py
+++ b/bench/restart_time.py
@@ -18,8 +18,8 @@
 import trio
 
 from dunlinlug.standins.platform import PlatformClient
-from tests.fixtures.manager_set import free_ports
 from tests.fixtures.platform_process import ROOT, SETTINGS, ZONES, instance
+from tests.fixtures.ports import free_ports
 
 WORKERS = 200
 
--- a/bench/scale/stage.py
+++ b/bench/scale/stage.py
@@ -18,6 +18,7 @@
 from bench.scale import part
 from bench.scale.budget import RunError
 from bench.scale.scenario import PACE
+from tests.fixtures.ports import reserve_port
 
 ROOT = Path(__file__).parent.parent.parent
 PORTS = range(12000, 30000)  # below those that outgoing connections get
@@ -94,7 +95,7 @@
     ports = iter(Random(secrets.randbits(64)).sample(PORTS, len(PORTS)))
     found: dict[str, tuple[str, int]] = {}
     for name in names:
-        port = next((port for port in ports if free(port)), None)
+        port = next((port for port in ports if reserve_port(port) and free(port)), None)
         if port is None:
             raise RunError(f"no free port for {name}")
         found[name] = (HOST, port)
--- a/tests/fleet/membership/test_transport.py
+++ b/tests/fleet/membership/test_transport.py
@@ -31,7 +31,7 @@
     ReplayWindow,
 )
 from dunlinlug.fleet.shared_keys import key_id
-from tests.fixtures.manager_set import free_ports
+from tests.fixtures.ports import free_ports
 
 KEY, NEW = bytes(range(32)), bytes(32)
 OWN = MemberState("a", (3, 1), ALIVE, ("127.0.0.1", 9), "a")
--- a/tests/fleet/ownership/members.py
+++ b/tests/fleet/ownership/members.py
@@ -17,7 +17,7 @@
 from dunlinlug.fleet.ownership.shared_health_checks import HealthCheckCoordinator
 from dunlinlug.storage.store import Store
 from tests.fixtures.manager_process import until
-from tests.fixtures.manager_set import free_ports
+from tests.fixtures.ports import free_ports
 
 KEY = bytes(range(32))
 TIMING = LeaseTiming(lease=0.5, heartbeat_interval=0.05, drift=0.02, recovery_timeout=1.0)
--- a/tests/race_conditions/processes.py
+++ b/tests/race_conditions/processes.py
@@ -11,7 +11,6 @@
 import trio
 
 from dunlinlug.standins.platform import DiscoveryServer
-from tests.fixtures.manager_set import free_ports
 from tests.fixtures.platform_process import (
     ROOT,
     SETTINGS,
@@ -20,6 +19,7 @@
     manager_config,
     wait_until_alive,
 )
+from tests.fixtures.ports import free_ports
 
 # linux/netlink.h, linux/sock_diag.h
 NETLINK_INET_DIAG = 4
--- a/tests/race_conditions/test_process_signals.py
+++ b/tests/race_conditions/test_process_signals.py
@@ -19,7 +19,6 @@
 from dunlinlug.net import http
 from dunlinlug.platform import environment, server
 from dunlinlug.standins.platform import DiscoveryServer
-from tests.fixtures.manager_set import free_ports
 from tests.fixtures.platform_process import (
     ROOT,
     SETTINGS,
@@ -30,6 +29,7 @@
     manager_config,
     running_manager,
 )
+from tests.fixtures.ports import free_ports
 
 
 async def start(config: Path, log: Path) -> trio.Process:
