Ejections that the safety rules demand wait for no rejection of another order

Cause: a rejection blocks the endpoint's row for 5 s, and update_ejections left out every blocked row, those that are no longer ready too.

Change: a block holds back optional changes alone. A mandatory ejection that was itself rejected is ordered again with the next tick (0.25 s, chosen: the module's own tick); which were mandatory is kept for the last batch, on no wire.

The reference model has the change in plain form.

--- a/dunlinlug/decision/decision_state.py
+++ b/dunlinlug/decision/decision_state.py
@@ -20,6 +20,7 @@
 from dunlinlug.decision.state.assignments import Assignments
 from dunlinlug.decision.state.desired_weights import DesiredWeights
 from dunlinlug.decision.state.endpoints import Fleet
+from dunlinlug.decision.state.last_batch import LastBatch
 from dunlinlug.decision.state.table_versions import TableVersions
 
 # Longest time in seconds until a failure is reported.
@@ -40,7 +41,8 @@
 class BlockedOrders:
     """Times before which rejected orders are not retried: owned by `order_rejection`."""
 
-    rows: dict[int, float] = field(default_factory=dict)  # weights and ejections
+    rows: dict[int, float] = field(default_factory=dict)  # weights and optional ejections
+    mandatory_ejections: dict[int, float] = field(default_factory=dict)  # by row
     classes: dict[int, float] = field(default_factory=dict)  # admission levels
 
 
@@ -87,6 +89,7 @@
         self.ejected_rows = set[int]()
         self.is_channel_constrained = False
         self.last_ack_number = 0
+        self.last_batch = LastBatch()
         self.timers = Timers()
         # Logged state: the last weight limit by row, and whether sharding was logged as
         # unsupported.
--- a/dunlinlug/decision/ejections.py
+++ b/dunlinlug/decision/ejections.py
@@ -33,7 +33,7 @@
     ordered_rows = [
         row
         for row in sorted(changed_rows, key=lambda row: (row in desired.weight_fractions, row))
-        if row not in state.blocked.rows
+        if not _is_blocked(state, batch, desired, row)
     ]
     mandatory_rows = [row for row in ordered_rows if _is_mandatory(state, desired, row)]
     # An ejection that exceeds the capacity of even an empty channel can never be sent; waiting for
@@ -52,6 +52,16 @@
             _order_change(state, batch, row, groups_by_row[row], urgency)
 
 
+def _is_blocked(state: DecisionState, batch: OrderBatch, desired: DesiredState, row: int) -> bool:
+    """Whether the change must wait because an order for the row was rejected.
+
+    A mandatory ejection waits only if it was itself rejected, and only for a tick.
+    """
+    if _is_mandatory(state, desired, row):
+        return state.blocked.mandatory_ejections.get(row, 0.0) > batch.now
+    return row in state.blocked.rows
+
+
 def _is_mandatory(state: DecisionState, desired: DesiredState, row: int) -> bool:
     """Whether the safety rules require the row to be ejected now."""
     is_ready = row in desired.weight_fractions
@@ -108,5 +118,7 @@
     batch.orders.append(SetEjected(state.fleet.ids[row], is_ejected))
     if is_ejected:
         state.ejected_rows.add(row)
+        if urgency is MANDATORY:
+            state.last_batch.mandatory_ejections.add(row)
     else:
         state.ejected_rows.discard(row)
--- a/dunlinlug/decision/order_rejection.py
+++ b/dunlinlug/decision/order_rejection.py
@@ -64,11 +64,17 @@
 
 
 def _handle_rejected_ejection(state: DecisionState, now: float, order: SetEjected) -> None:
-    """Record that the ejection did not start or end."""
+    """Record that the ejection did not start or end.
+
+    Until a mandatory ejection is accepted, proxies use an endpoint that they must not use.
+    """
     row = state.fleet.row_by_id.get(order.worker)
     if row is None:
         return
-    state.blocked.rows[row] = now + SLOW_START_INTERVAL
+    if order.ejected and row in state.last_batch.mandatory_ejections:
+        state.blocked.mandatory_ejections[row] = now + TICK_INTERVAL
+    else:
+        state.blocked.rows[row] = now + SLOW_START_INTERVAL
     if order.ejected:
         state.ejected_rows.discard(row)
     else:
--- a/dunlinlug/decision/planner.py
+++ b/dunlinlug/decision/planner.py
@@ -61,7 +61,12 @@
     if is_last_resort:
         last_resort = LAST_RESORT_FRACTION * state.parameters.full_admission
         admitted_fractions = [min(fraction, last_resort) for fraction in admitted_fractions]
-    state.blocked.rows = {row: at for row, at in state.blocked.rows.items() if at > now}
+    blocked = state.blocked
+    blocked.rows = {row: at for row, at in blocked.rows.items() if at > now}
+    if blocked.mandatory_ejections:
+        blocked.mandatory_ejections = {
+            row: at for row, at in blocked.mandatory_ejections.items() if at > now
+        }
     return DesiredState(
         weights_by_class,
         state.desired_weights.weight_fractions,
--- a/dunlinlug/decision/reconciler.py
+++ b/dunlinlug/decision/reconciler.py
@@ -47,6 +47,7 @@
     """Return the orders of this batch, in the order in which they take effect."""
     state.last_ack_number = next_free_number(state.last_ack_number, state.budget.pending_replies)
     batch = OrderBatch(state.budget, now, state.last_ack_number)
+    state.last_batch.clear()
     report_limits(state, batch, desired)
     state.rows_to_plan.clear()
     state.desired_weights.set_ejected(desired.ejected)
--- a/dunlinlug/fleet/election/module_state.py
+++ b/dunlinlug/fleet/election/module_state.py
@@ -103,7 +103,7 @@
         "means": "partition_limits",
         "moved": "rows_to_plan",
     },
-    local=("rng", "slow_start"),
+    local=("rng", "slow_start", "last_batch", "blocked.mandatory_ejections"),
 )
 
 # Wire names of the objects that are updated in place: a new module's own ones hold attributes that
--- a/tests/decision/rules_model.py
+++ b/tests/decision/rules_model.py
@@ -4,6 +4,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from random import Random
 
 from dunlinlug.balance import Balancer
@@ -14,6 +15,7 @@
     EndpointReported,
     EndpointsUpdated,
     Event,
+    OrderRejected,
     OverrideChanged,
     ProxyConnected,
     ProxyDisconnected,
@@ -59,12 +61,15 @@
 class Model:
     """Applies one manager's orders; `violated_rules` has the rules that were violated.
 
-    `channel_speed` is the actual rate of the channel as a fraction of the configured one.
+    `channel_speed` is the actual rate of the channel as a fraction of the configured one. Orders for
+    which `is_rejected` is true are not executed, and the module is notified in the next step.
     """
 
     def __init__(self, settings: ManagerSettings, channel_speed: float = 1.0) -> None:
         self.settings, self.channel_speed, self.now = settings, channel_speed, 0.0
         self.module = Balancer(settings)
+        self.is_rejected: Callable[[Order], bool] = lambda order: False
+        self.rejected_orders = list[Order]()  # of the last step
         self.orders, self.violated_rules, self.listed = (
             list[Order](),
             set[str](),
@@ -119,8 +124,12 @@
         self.timers = [timer for timer in self.timers if timer[0] > self.now]
         for event in events:
             self._handle_event(event)
-        self.orders = self.module.decide(self.now, [*events, *acknowledgements, *fired])
-        self._apply_orders()
+        rejections = [OrderRejected(order, "by the model") for order in self.rejected_orders]
+        self.orders = self.module.decide(
+            self.now, [*events, *acknowledgements, *rejections, *fired]
+        )
+        self.rejected_orders = [order for order in self.orders if self.is_rejected(order)]
+        self._apply_orders([order for order in self.orders if order not in self.rejected_orders])
         self._check_rules()
 
     def _apply(self, proxy: int, effects: list) -> list[Event]:
@@ -194,10 +203,10 @@
                     else:
                         self.unready_since.setdefault(entry.id, self.now)
 
-    def _apply_orders(self) -> None:
+    def _apply_orders(self, orders: list[Order]) -> None:
         effects: dict[int, list] = defaultdict(list)
         entry_counts: dict[int, float] = defaultdict(float)
-        for order in self.orders:
+        for order in orders:
             match order:
                 case SetWeight(table_id, worker, weight):
                     self._set_weight(table_id, worker, weight, effects, entry_counts)
--- a/tests/decision/test_order_rejection.py
+++ b/tests/decision/test_order_rejection.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+import pytest
+
 from dunlinlug.balance import Balancer
 from dunlinlug.decision.events import (
     Acknowledged,
@@ -28,7 +30,8 @@
 from dunlinlug.decision.settings import ManagerSettings
 from dunlinlug.decision.slow_start import SLOW_START_INTERVAL
 from dunlinlug.storage.store import read_rejections
-from tests.decision.rules_model import endpoint, manager_settings
+from tests.decision.rules_model import Model, endpoint, manager_settings
+from tests.decision.test_regressions import crowded_model, report
 from tests.fixtures.manager_process import WORKERS, has_tables, peer, running, until
 
 BLOCKED_SECONDS = SLOW_START_INTERVAL
@@ -178,6 +181,40 @@
     )
 
 
+def proxies_using(model: Model, worker: str) -> int:
+    """Return how many proxies may send requests to the worker."""
+    return sum(
+        worker not in model.ejected_by_proxy[p]
+        and any(worker in entries for _, entries in tables.values())
+        for p, tables in model.applied.items()
+    )
+
+
+def failing_model_with_rejected_ejection() -> Model:
+    """Return a model after the ejection of worker 7, which fails all requests, was rejected."""
+    model = crowded_model()
+    model.is_rejected = lambda order: isinstance(order, SetEjected) and order.ejected
+    for _ in range(20):
+        report(model, {n: (20, 20 * (n == 7), 0.2) for n in range(30)}, 0.5)
+        if model.rejected_orders:
+            model.is_rejected = lambda order: False
+            return model
+    raise AssertionError("the worker was not ejected")
+
+
+@pytest.mark.parametrize("delay", [0.1, 1.0, 2.0, 4.0])
+def test_a_worker_drains_in_time_after_its_ejection_was_rejected(delay: float) -> None:
+    """Guards against a rejected outlier ejection that delays the one that the rules demand."""
+    model = failing_model_with_rejected_ejection()
+    for _ in range(round(delay / 0.1) - 1):
+        model.step(0.1, [])
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(7, "draining"),))])
+    assert endpoint(7).id in model.ejected
+    for _ in range(60):
+        model.step(0.1, [])
+    assert not proxies_using(model, endpoint(7).id) and not model.violated_rules
+
+
 class EmptyTableModule:
     """A decision module that omits all table entries while `is_rejecting`."""
 
--- a/tests/reference_model/balance.py
+++ b/tests/reference_model/balance.py
@@ -706,6 +706,10 @@
         )
         # By row, until when an order that was rejected is not tried again.
         self.blocked_rows: dict[int, float] = {}
+        # By row, until when a mandatory ejection that was rejected is not tried again.
+        self.blocked_ejections: dict[int, float] = {}
+        # Rows whose mandatory ejection the last batch ordered.
+        self.mandatory_rows: set[int] = set()
         # By class, until when admission levels stay as they are after one was rejected.
         self.blocked_classes: dict[int, float] = {}
         self.overrides: dict[int, OverrideChanged] = {}  # operators', by class
@@ -841,9 +845,11 @@
                 )
                 self.assignments.unassign(proxy_id, traffic_classes, table_id)
             case SetEjected(worker, is_ejected) if worker in self.fleet.row_by_id:
-                self.blocked_rows[row := self.fleet.row_by_id[worker]] = (
-                    now + self.SLOW_START_INTERVAL
-                )
+                row = self.fleet.row_by_id[worker]
+                if is_ejected and row in self.mandatory_rows:
+                    self.blocked_ejections[row] = now + self.TICK_INTERVAL
+                else:
+                    self.blocked_rows[row] = now + self.SLOW_START_INTERVAL
                 (self.ejected_rows.discard if is_ejected else self.ejected_rows.add)(row)
             case SetAdmission(table_id, traffic_class) if traffic_class < self.class_count:
                 self.blocked_classes[traffic_class] = now + self.SLOW_START_INTERVAL
@@ -1071,6 +1077,7 @@
     def _reconcile(self, now: float, desired: DesiredState) -> list[Order]:
         """Order the difference between the desired state and what is installed."""
         self.last_ack_number = next_free_number(self.last_ack_number, self.budget.pending_replies)
+        self.mandatory_rows = set()
         batch, weights_by_class, detector = (
             OrderBatch(self.budget, now, self.last_ack_number),
             desired.weights,
@@ -1403,13 +1410,18 @@
         mandatory_rows = [
             row
             for row in ordered_rows
-            if row not in self.blocked_rows
+            if self.blocked_ejections.get(row, 0.0) <= batch.now
             and row in desired.ejected
             and (
                 row not in desired.weight_fractions
                 or self.outlier_detector.weight_limits[row] > 0.0
             )
         ]
+        rejected_rows = {row for row, at in self.blocked_ejections.items() if at > batch.now} & {
+            row
+            for row in desired.ejected
+            if row not in desired.weight_fractions or self.outlier_detector.weight_limits[row] > 0.0
+        }
         limit = self.budget.channel.max_queued_entries * (1.0 - ChannelBudget.RESERVED_CAPACITY[0])
         possible_rows = [
             row
@@ -1427,7 +1439,7 @@
             is_mandatory = row in mandatory_rows
             priority, max_drain_time = (0, inf) if is_mandatory else (1, 4 * self.BASE_DRAIN_TIME)
             if (
-                row not in self.blocked_rows
+                (is_mandatory or (row not in self.blocked_rows and row not in rejected_rows))
                 and batch.fits(sum(map(len, groups_by_row[row])), priority)
                 and batch.reserve(
                     [*chain.from_iterable(groups_by_row[row])], 1.0, priority, max_drain_time
@@ -1435,6 +1447,8 @@
             ):
                 batch.orders.append(SetEjected(self.fleet.ids[row], row in desired.ejected))
                 self.ejected_rows ^= {row}
+                if is_mandatory:
+                    self.mandatory_rows.add(row)
 
     def _count_due(self, batch: OrderBatch, proxies_by_row: list[list[int]]) -> int:
         """Return how many of these ejections, each with its proxies, are ordered now.
