A rejected order for an entry leaves the entry that is installed

Cause: _handle_rejected_weight set the entry to None though the earlier weight was still installed, so that Table.unready_rows missed the row. A rejected removal and a rejected slow start weight hid the entry in the same way.

An entry whose former weight is not known counts as present.

--- a/dunlinlug/decision/event_handling.py
+++ b/dunlinlug/decision/event_handling.py
@@ -61,7 +61,9 @@
     state.list_polling.retry_delay = MIN_LIST_RETRY_DELAY
     restarted = state.fleet.apply_update(
         event,
-        lambda: state.assignments.referenced_rows(state.ejected_rows, state.blocked.rows),
+        lambda: state.assignments.referenced_rows(
+            state.ejected_rows, state.blocked.rows, state.last_batch.rows()
+        ),
     )
     for row, is_new in restarted:
         if is_new:
--- a/dunlinlug/decision/order_rejection.py
+++ b/dunlinlug/decision/order_rejection.py
@@ -37,17 +37,19 @@
 
 
 def _handle_rejected_weight(state: DecisionState, now: float, order: SetWeight) -> None:
-    """Treat the endpoint as without an entry in the table, so that a weight is ordered again.
-
-    The table may still have the endpoint's earlier weight, which the state does not keep.
-    """
+    """Restore the entry that the endpoint had in the table before the order."""
     row = state.fleet.row_by_id.get(order.worker)
     if row is None:
         return
     state.blocked.rows[row] = now + SLOW_START_INTERVAL
     table = state.assignments.tables.get(order.table_id)
-    if table is not None:
+    if table is None:
+        return
+    entry = state.last_batch.previous_entry(table, row)
+    if entry is None:
         state.assignments.set_entry(table, row, None)
+    else:
+        state.assignments.set_entry(table, row, entry.weight, entry.weight_fraction)
 
 
 def _handle_rejected_assignment(state: DecisionState, now: float, order: AssignTable) -> None:
--- a/dunlinlug/decision/table_orders.py
+++ b/dunlinlug/decision/table_orders.py
@@ -30,6 +30,7 @@
     table = state.assignments.add_table(
         Table(table_id, dict(weights), weight_fractions, list(desired.admission_levels))
     )
+    state.last_batch.created_tables.add(table_id)
     batch.orders.extend(
         SetWeight(table_id, state.fleet.ids[row], weight) for row, weight in table.weights.items()
     )
@@ -67,6 +68,7 @@
     for row in changed_rows:
         batch.orders.append(SetWeight(table.table_id, state.fleet.ids[row], weights.get(row, 0.0)))
         weight_fraction = desired.weight_fractions.get(row, 0.0)
+        state.last_batch.record_entry(table, row)
         state.assignments.set_entry(table, row, weights.get(row), weight_fraction)
     state.assignments.record_update(table, proxy_ids, batch.ack_number, batch.now)
     return True
@@ -98,6 +100,8 @@
     # Rows that are ejected and not in the table are excluded: adding an entry would expose an
     # endpoint that must not be used to proxies that might not have received its ejection.
     changed = state.desired_weights.differing_rows(table, weights) - (ejected - installed.keys())
+    # An entry stays as it is for a while after an order for it was rejected.
+    changed -= state.blocked.rows.keys()
     return sorted(
         changed,
         key=lambda row: (
--- a/tests/decision/test_order_rejection.py
+++ b/tests/decision/test_order_rejection.py
@@ -4,7 +4,9 @@
 batch.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -29,6 +31,7 @@
 from dunlinlug.decision.planner import plan
 from dunlinlug.decision.settings import ManagerSettings
 from dunlinlug.decision.slow_start import SLOW_START_INTERVAL
+from dunlinlug.decision.timer import TICK_INTERVAL
 from dunlinlug.storage.store import read_rejections
 from tests.decision.rules_model import Model, endpoint, manager_settings
 from tests.decision.test_regressions import crowded_model, report
@@ -190,6 +193,87 @@
     )
 
 
+def listed_weight(n: int, weight: float, state: str = "ready") -> EndpointsUpdated:
+    return EndpointsUpdated("changes", (replace(endpoint(n, state), weight=weight),))
+
+
+def crowded_model_with_rejected_weight(is_rejected: Callable[[SetWeight], bool]) -> Model:
+    """Return a model after an order for worker 7's listed weight of 0.5 was rejected once."""
+    model = crowded_model()
+    model.is_rejected = lambda order: (
+        isinstance(order, SetWeight) and order.worker == endpoint(7).id and is_rejected(order)
+    )
+    model.step(0.1, [listed_weight(7, 0.5)])
+    for _ in range(20):
+        if model.rejected_orders:
+            return model
+        model.step(0.1, [])
+    raise AssertionError("no weight was ordered")
+
+
+@pytest.mark.parametrize("delay", [0.1, 0.5, 2.0, 4.0])
+def test_a_worker_drains_in_time_after_its_weight_was_rejected(delay: float) -> None:
+    """Guards against taking an entry for removed whose change was rejected."""
+    model = crowded_model_with_rejected_weight(lambda order: order.weight == 0.5)
+    report(model, {}, delay - 0.1)
+    model.step(0.1, [listed_weight(7, 0.5, "draining")])
+    for _ in range(120):
+        model.step(0.1, [])
+    assert not proxies_using(model, endpoint(7).id) and not model.violated_rules
+
+
+def test_a_rejected_weight_leaves_the_installed_entry_until_it_is_ordered_again() -> None:
+    model = crowded_model_with_rejected_weight(lambda order: order.weight == 0.5)
+    model.is_rejected = lambda order: False
+    for _ in range(round(BLOCKED_SECONDS / 0.1) - 5):
+        model.step(0.1, [])
+        assert proxies_using(model, endpoint(7).id) == 40, "no other order may remove the entry"
+    report(model, {}, 3.0)
+    assert model.tables[model.assigned[0][0]][endpoint(7).id] == 0.5
+
+
+def test_a_rejected_removal_in_place_keeps_the_worker_ejected_while_it_has_an_entry() -> None:
+    model = crowded_model()
+    model.is_rejected = lambda order: isinstance(order, SetWeight) and not order.weight
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(7, "draining"),))])
+    rejections = len(model.rejected_orders)
+    for _ in range(200):
+        model.step(0.1, [])
+        rejections += len(model.rejected_orders)
+    assert rejections and not proxies_using(model, endpoint(7).id) and not model.violated_rules
+    model.is_rejected = lambda order: False
+    model.step(0.1, [listed_weight(8, 0.5)])  # the removal goes with another change
+    report(model, {}, 3.0)
+    assert endpoint(7).id not in model.tables[model.assigned[0][0]]
+
+
+def test_one_rejected_entry_of_a_batch_leaves_the_others_as_ordered() -> None:
+    model = crowded_model()
+    model.is_rejected = lambda order: (
+        isinstance(order, SetWeight) and order.worker == endpoint(7).id
+    )
+    weights = tuple(replace(endpoint(n), weight=0.5) for n in (6, 7, 8))
+    model.step(0.1, [EndpointsUpdated("changes", weights)])
+    report(model, {}, 3.0)
+    table = model.tables[model.assigned[0][0]]
+    assert [table[endpoint(n).id] for n in (6, 7, 8)] == [0.5, 1.0, 0.5]
+    model.step(0.1, [EndpointsUpdated("changes", tuple(endpoint(n, "gone") for n in (6, 7, 8)))])
+    for _ in range(60):
+        model.step(0.1, [])
+    assert not model.violated_rules
+
+
+def test_a_rejected_entry_whose_weight_before_is_unknown_counts_as_usable() -> None:
+    """A new leader that started from a snapshot does not know what the last batch replaced."""
+    model = crowded_model_with_rejected_weight(lambda order: order.weight == 0.5)
+    model.module.state.last_batch.clear()
+    model.step(0.1, [])
+    model.step(0.1, [listed_weight(7, 0.5, "draining")])
+    for _ in range(60):
+        model.step(0.1, [])
+    assert not proxies_using(model, endpoint(7).id) and not model.violated_rules
+
+
 def failing_model_with_rejected_ejection() -> Model:
     """Return a model after the ejection of worker 7, which fails all requests, was rejected."""
     model = crowded_model()
@@ -215,6 +299,48 @@
     assert not proxies_using(model, endpoint(7).id) and not model.violated_rules
 
 
+def test_a_rejected_mandatory_ejection_is_ordered_again_with_the_next_tick() -> None:
+    model = crowded_model()
+    model.is_rejected = lambda order: isinstance(order, SetEjected | SetWeight)
+    model.step(0.02, [EndpointsUpdated("changes", (endpoint(7, "draining"),))])
+    rejected_at = [model.now] if model.rejected_orders else []
+    for _ in range(50):
+        model.step(0.02, [])
+        if SetEjected(endpoint(7).id, True) in model.rejected_orders:
+            rejected_at.append(model.now)
+    pauses = [after - before for before, after in pairwise(rejected_at)]
+    assert 3 <= len(pauses) <= 4 and max(pauses) <= TICK_INTERVAL + 0.05
+    model.is_rejected = lambda order: False
+    report(model, {}, 0.5)
+    assert endpoint(7).id in model.ejected
+
+
+def test_a_worker_that_returns_and_drains_again_is_ejected_at_once() -> None:
+    model = crowded_model()
+    model.is_rejected = lambda order: isinstance(order, SetEjected | SetWeight)
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(7, "draining"),))])
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(7),))])
+    model.is_rejected = lambda order: False
+    model.step(0.3, [])
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(7, "gone"),))])
+    assert endpoint(7).id in model.ejected
+    for _ in range(60):
+        model.step(0.1, [])
+    assert not model.violated_rules
+
+
+def test_a_worker_that_restarts_stays_ejected_while_its_former_weight_is_installed() -> None:
+    model = crowded_model()
+    model.is_rejected = lambda order: (
+        isinstance(order, SetWeight) and order.worker == endpoint(7).id
+    )
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(7, "ready", model.now - 1.0),))])
+    for _ in range(40):
+        model.step(0.1, [])
+        assert endpoint(7).id in model.ejected
+    assert not model.violated_rules
+
+
 class EmptyTableModule:
     """A decision module that omits all table entries while `is_rejecting`."""
 
--- a/tests/reference_model/balance.py
+++ b/tests/reference_model/balance.py
@@ -708,7 +708,10 @@
         self.blocked_rows: dict[int, float] = {}
         # By row, until when a mandatory ejection that was rejected is not tried again.
         self.blocked_ejections: dict[int, float] = {}
-        # Rows whose mandatory ejection the last batch ordered.
+        # What the last batch's orders replaced: entries by table and row, None for no entry; new
+        # tables; rows with a mandatory ejection.
+        self.previous_entries: dict[tuple[int, int], tuple[float, float] | None] = {}
+        self.created_tables: set[int] = set()
         self.mandatory_rows: set[int] = set()
         # By class, until when admission levels stay as they are after one was rejected.
         self.blocked_classes: dict[int, float] = {}
@@ -762,6 +765,7 @@
                     self.assignments.referenced_rows()
                     | self.ejected_rows
                     | self.blocked_rows.keys()
+                    | {row for _, row in self.previous_entries}
                 )
                 for row, is_new in self.fleet.apply_update(event, rows_in_use):
                     if is_new:
@@ -832,10 +836,13 @@
                     now + self.SLOW_START_INTERVAL
                 )
                 if table_id in tables:
-                    (
-                        tables[table_id].weights.pop(row, None),
-                        tables[table_id].weight_fractions.pop(row, None),
-                    )
+                    table = tables[table_id]
+                    table.weights.pop(row, None)
+                    table.weight_fractions.pop(row, None)
+                    # Whether a proxy has an entry of unknown weight is not known either.
+                    previous = self.previous_entries.get((table_id, row), (0.0, 1.0))
+                    if table_id not in self.created_tables and previous is not None:
+                        table.weights[row], table.weight_fractions[row] = previous
             case AssignTable(proxy_id, traffic_classes, table_id) if proxy_id in proxies:
                 # An empty table is rejected if a proxy connected before the endpoint list arrived.
                 # With the longer delay the proxy would have no endpoint for a slow start step.
@@ -1077,7 +1084,7 @@
     def _reconcile(self, now: float, desired: DesiredState) -> list[Order]:
         """Order the difference between the desired state and what is installed."""
         self.last_ack_number = next_free_number(self.last_ack_number, self.budget.pending_replies)
-        self.mandatory_rows = set()
+        self.previous_entries, self.created_tables, self.mandatory_rows = {}, set(), set()
         batch, weights_by_class, detector = (
             OrderBatch(self.budget, now, self.last_ack_number),
             desired.weights,
@@ -1588,6 +1595,9 @@
             batch.orders.append(
                 SetWeight(table.table_id, self.fleet.ids[row], weights.get(row, 0.0))
             )
+            self.previous_entries[table.table_id, row] = (
+                (table.weights[row], table.weight_fractions[row]) if row in table.weights else None
+            )
             table.weights[row], table.weight_fractions[row] = (
                 weights.get(row, 0.0),
                 desired.weight_fractions.get(row, 0.0),
@@ -1670,6 +1680,7 @@
         weight_fractions = {row: desired.weight_fractions.get(row, 1.0) for row in weights}
         table = Table(table_id, dict(weights), weight_fractions, list(desired.admission_levels))
         self.assignments.tables[table_id] = table
+        self.created_tables.add(table_id)
         batch.orders.extend(
             SetWeight(table_id, self.fleet.ids[row], weight)
             for row, weight in table.weights.items()
@@ -1696,6 +1707,8 @@
         changed_rows = {
             row for row in {**installed, **weights} if installed.get(row) != weights.get(row)
         } - (ejected - installed.keys())
+        # An entry stays as it is for a while after an order for it was rejected.
+        changed_rows -= self.blocked_rows.keys()
         return sorted(
             changed_rows,
             key=lambda row: (
