xDS: a table that changes in place brings the ejections that changed meanwhile

Callers: a proxy with the ejection overlay sent nothing to a worker that had been ejected, left its table, was readmitted and returned to the table in place.

Cause: a readmission goes only to proxies with an entry of the worker, and on_proxy_table_changed sent the table without the ejections, so that the proxy kept the worker in its overlay.

--- a/dunlinlug/ads/proxy_state.py
+++ b/dunlinlug/ads/proxy_state.py
@@ -147,8 +147,13 @@
                     proxy_state.stale_tables.add(table.name)
 
     def on_proxy_table_changed(self, proxy: int, table_id: int, admission_changed: bool) -> None:
-        """Send the table and, if its admission changed, the routes with the retry policy."""
+        """Send the table, the ejections and, if its admission changed, the routes.
+
+        Only a proxy that has an entry of the worker is sent an ejection or its end, so that the
+        ejections may have changed while the table had no entry of a worker that it has now.
+        """
         self.changed_tables.setdefault(proxy, set()).add(table_id)
+        self.proxies_with_new_ejections.add(proxy)
         if admission_changed:
             self.proxies_with_new_routes.add(proxy)
 
--- a/tests/ads/test_proxy_state.py
+++ b/tests/ads/test_proxy_state.py
@@ -193,3 +193,25 @@
     proxy.enqueue(batch)
     proxy.apply_pending()
     assert proxy.state.tables["1/1"].unhealthy == {WORKERS[0]}
+
+
+@pytest.mark.parametrize("supports_overlay", [True, False])
+def test_a_worker_that_left_a_table_while_ejected_is_usable_once_it_returns(
+    installer: XdsTableInstaller, supports_overlay: bool
+) -> None:
+    """Guards against a proxy that keeps a worker ejected after its readmission."""
+    installer.add_proxy(0, supports_overlay, ())
+    proxy = StreamedProxy(0)
+    weights: list[Order] = [SetWeight(1, worker, 1.0) for worker in WORKERS[:2]]
+    replies: list[list[Order]] = [
+        [*weights, AssignTable(0, (0, 1), 1)],
+        [SetEjected(WORKERS[0], True)],
+        [SetWeight(1, WORKERS[0], 0.0)],
+        [SetEjected(WORKERS[0], False)],
+        [SetWeight(1, WORKERS[0], 1.0)],
+    ]
+    for now, orders in enumerate(replies):
+        for batch in installer.apply_orders(orders, float(now)).values():
+            proxy.enqueue(batch)
+        proxy.apply_pending()
+    assert set(proxy.state.usable_weights("read")) == set(WORKERS[:2])
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -255,6 +255,24 @@
     assert update["restore"][0] == endpoint(1).id, "workers known to be ejected come first"
 
 
+def test_a_worker_that_left_a_table_while_ejected_is_usable_once_it_returns() -> None:
+    """Guards against a proxy that keeps a worker ejected after its readmission."""
+    installer = create_installer(ProxyConnected(3, "north", 5.0, True))
+    proxy = ReferenceProxy()
+    weights = {endpoint(n).id: 1.0 for n in range(2)}
+    replies: list[list[Order]] = [
+        [*set_weights(weights), AssignTable(3, (0, 1), 1)],
+        [SetEjected(endpoint(0).id, True)],
+        set_weights({endpoint(0).id: 0.0}),
+        [SetEjected(endpoint(0).id, False)],
+        set_weights({endpoint(0).id: 1.0}),
+    ]
+    for orders in replies:
+        for message in installer.apply_orders(orders, 0.0).values():
+            proxy.read(message.data)
+    assert proxy.tables["read"].keys() - proxy.ejected == weights.keys()
+
+
 def test_workers_that_another_manager_may_have_ejected_are_readmitted_within_the_entries() -> None:
     weights = {endpoint(n).id: 1.0 for n in range(4)}
     installer = create_installer(ProxyConnected(3, "north", 5.0, False))
