Ownership history: a log that lost its middle is an error

What operators saw: dunlinlug audit judged the history of effects whole although lines of a log were damaged. Cause: _read_records skipped every line that is not JSON, not only the last of a killed process.

--- a/dunlinlug/fleet/ownership/history.py
+++ b/dunlinlug/fleet/ownership/history.py
@@ -12,11 +12,27 @@
 from pathlib import Path
 from typing import Any
 
+from dunlinlug.errors import DunlinlugError
+
 EXECUTED_EVENT = "ownership.effect_executed"
 REJECTED_EVENT = "ownership.effect_rejected"
 STARTED_EVENT = "membership.ready"
 
 
+class DamagedLogError(DunlinlugError):
+    """A log that may lack effects before the end of its process.
+
+    Attributes:
+        path: The log.
+        line: The number of the line that is not JSON, counted from 1.
+    """
+
+    def __init__(self, path: Path, line: int) -> None:
+        super().__init__(f"{path.name}:{line}: not JSON, and its process went on after it")
+        self.path = path
+        self.line = line
+
+
 @dataclass(frozen=True)
 class Observation:
     """An effect that an executor executed or rejected."""
@@ -85,30 +101,41 @@
     """Reads the effects that a scenario's managers executed and rejected from their log files.
 
     A restarted manager counts as another executor, as it only has the ownership log's tokens.
+
+    Raises:
+        DamagedLogError: A line is not JSON, and effects of the same process follow it.
     """
     observations = list[Observation]()
     for path in sorted(folder.glob("manager-*.log")):
         member = path.stem.removeprefix("manager-")
         starts = 0
-        for record in _read_records(path):
+        damaged_line = 0
+        for number, record in _read_records(path):
+            if record is None:
+                damaged_line = number
+                continue
             event = record.get("event")
             if event == STARTED_EVENT:
                 starts += 1
+                damaged_line = 0
             elif event in (EXECUTED_EVENT, REJECTED_EVENT):
+                if damaged_line:
+                    raise DamagedLogError(path, damaged_line)
                 observations.append(_observation(f"{member} {starts}", record))
     return observations
 
 
-def _read_records(path: Path) -> Iterator[dict[str, Any]]:
-    """Yields the JSON records of a log, and skips lines that are not valid JSON.
+def _read_records(path: Path) -> Iterator[tuple[int, dict[str, Any] | None]]:
+    """Yields the numbers and records of a log's lines, None for one that is not valid JSON.
 
-    The last line of a killed process can be incomplete.
+    The last line of a killed process can be incomplete, and run into the next one's first.
     """
-    for line in path.read_text(encoding="utf-8").splitlines():
+    for number, line in enumerate(path.read_text(encoding="utf-8").splitlines(), 1):
         try:
-            yield json.loads(line)
+            record = json.loads(line)
         except ValueError:
-            continue
+            record = None
+        yield number, record
 
 
 def _observation(executor: str, record: dict[str, Any]) -> Observation:
--- a/tests/fleet/ownership/test_history.py
+++ b/tests/fleet/ownership/test_history.py
@@ -1,5 +1,10 @@
 """The checker of executed effects."""
 
+import json
+from pathlib import Path
+
+import pytest
+
 from dunlinlug.fleet.ownership import history
 from dunlinlug.fleet.ownership.history import Observation
 
@@ -26,3 +31,33 @@
     ):
         first = history.find_violations([*in_order, violating])[0]
         assert first.description.startswith(description)
+
+
+def effect(sequence: int) -> str:
+    return json.dumps(
+        {
+            "event": history.EXECUTED_EVENT,
+            "timestamp": "2026-12-03T10:00:00+00:00",
+            "piece": "p",
+            "number": 1,
+            "count": sequence,
+            "owner": "a",
+        }
+    )
+
+
+def test_a_log_that_lost_its_middle_is_not_judged(tmp_path: Path) -> None:
+    """Guards against a history that is judged whole although effects are missing."""
+    log = tmp_path / "manager-a.log"
+    started = json.dumps({"event": history.STARTED_EVENT})
+    log.write_text("\n".join([started, effect(1), effect(2)[:30], effect(3)]))
+    with pytest.raises(history.DamagedLogError, match=r"manager-a\.log:3"):
+        history.read_logs(tmp_path)
+
+
+def test_the_incomplete_last_line_of_a_killed_process_is_skipped(tmp_path: Path) -> None:
+    log = tmp_path / "manager-a.log"
+    started = json.dumps({"event": history.STARTED_EVENT})
+    killed = [started, effect(1), effect(2)[:30] + json.dumps({"event": "log.opened"})]
+    log.write_text("\n".join([*killed, started, effect(1), effect(2)[:30]]))
+    assert [observed.executor for observed in history.read_logs(tmp_path)] == ["a 1", "a 2"]
