Audit: an update of several messages counts as these

The figure 'messages' counted table updates, of which each may be several messages; it adds up what the updates' tags say now.

--- a/dunlinlug/audit/figures.py
+++ b/dunlinlug/audit/figures.py
@@ -40,7 +40,7 @@
         latencies: Latency percentiles by traffic class.
         propagation_times: Propagation times of list updates.
         max_queued_entries: The largest number of table entries ordered and not yet arrived.
-        message_count: Number of table updates that arrived at proxies.
+        message_count: Number of messages that arrived at proxies; an update may be several.
     """
 
     served_fraction: float
@@ -75,7 +75,9 @@
         },
         propagation_times=_propagation_times(records),
         max_queued_entries=_max_queued_entries(records),
-        message_count=sum(bool(line["tag"]) for line in records.lines_of("applied")),
+        message_count=sum(
+            int(line["tag"].split()[-1]) for line in records.lines_of("applied") if line["tag"]
+        ),
     )
 
 
--- a/tests/audit/test_rules.py
+++ b/tests/audit/test_rules.py
@@ -309,3 +309,10 @@
     path.write_text('{"at": 1\n' + path.read_text())
     with pytest.raises(records.RecordError, match=r"all\.jsonl:1: not JSON"):
         records.read_records(tmp_path)
+
+
+def test_an_update_of_several_messages_counts_as_these(tmp_path: Path) -> None:
+    """Guards against counting table updates as messages."""
+    update = {"at": 110.0, "e": "applied", "proxy": "p0", "tag": "109 20 3", "refused": ""}
+    broken_rules(tmp_path, {**update, "lines": 6}, {**update, "lines": 0, "tag": ""})
+    assert figures.summarize(records.read_records(tmp_path)).message_count == 1 + 3
