--- a/dunlinlug/fleet/election/serialization.py
+++ b/dunlinlug/fleet/election/serialization.py
@@ -93,8 +93,11 @@
         for name in self.fields:
             if name not in values:
                 raise FieldFormError(self, name, "missing")
-        if len(pairs) != len(self.fields):
-            raise FieldFormError(self, pairs[-1][0], "duplicated")
+        seen = set[str]()
+        for name, _ in pairs:
+            if name in seen:
+                raise FieldFormError(self, name, "duplicated")
+            seen.add(name)
         return {self.fields[name]: value for name, value in pairs}
 
 
