--- a/tests/decision/test_regressions.py
+++ b/tests/decision/test_regressions.py
@@ -257,7 +257,7 @@
 
 def test_on_a_slow_channel_a_drain_precedes_outlier_ejections_and_admission() -> None:
     model = crowded_model()
-    model.latency = 0.1
+    model.channel_speed = 0.25
     report(model, {n: (20, 20 if n % 5 == 0 else 9, 1.2) for n in range(30)}, 8.0)
     assert sum(entries for _, entries, _ in model.queue) <= 600  # far below the queue limit
     model.step(0.1, [EndpointsUpdated("changes", (endpoint(7, "draining"),))])
