Rejected assignments hold up no further update, nor leave a proxy without endpoint

Cause, from the trace: each retry of a rejected assignment made the update wait for the proxy anew, the retries used up the limit of messages, tables without entries were created and assigned, and a proxy that lost its last endpoint waited 5 s after a rejection.

Change: a rejected assignment is not waited for; a proxy whose endpoints are all ejected is tried again with the next tick; while endpoints are blocked no empty table is created or assigned in place of another.

Two new tests of test_order_rejection.py fail before.

Proxies concerned by a rejected order acknowledge, as with the real host.

--- a/dunlinlug/decision/order_rejection.py
+++ b/dunlinlug/decision/order_rejection.py
@@ -5,6 +5,9 @@
 not rejected again in every batch.
 """
 
+from collections.abc import Iterable
+from math import inf
+
 from dunlinlug.decision.decision_state import DecisionState
 from dunlinlug.decision.orders import (
     AssignTable,
@@ -15,7 +18,7 @@
     SetWeight,
 )
 from dunlinlug.decision.slow_start import SLOW_START_INTERVAL
-from dunlinlug.decision.state.tables import Table
+from dunlinlug.decision.state.tables import Proxy, Table
 from dunlinlug.decision.timer import TICK_INTERVAL
 
 
@@ -57,12 +60,35 @@
     proxy = state.assignments.proxies.get(order.proxy)
     if proxy is None:
         return
+    state.assignments.unassign(order.proxy, order.traffic_classes, order.table_id)
     # An empty table is rejected if the proxy connected before the endpoint list arrived. A shorter
     # delay keeps the proxy from being without an endpoint for the duration of a slow start step.
     table = state.assignments.tables.get(order.table_id)
-    is_empty = table is not None and not table.weights
-    proxy.assign_after = now + (TICK_INTERVAL if is_empty else SLOW_START_INTERVAL)
-    state.assignments.unassign(order.proxy, order.traffic_classes, order.table_id)
+    is_urgent = table is not None and not table.weights
+    is_urgent = is_urgent or lacks_usable_endpoint(state, proxy, order.traffic_classes)
+    proxy.assign_after = now + (TICK_INTERVAL if is_urgent else SLOW_START_INTERVAL)
+    # The update must not wait for the proxy: nobody else may get another table meanwhile, and each
+    # retry would prolong the wait.
+    proxy.updated_at = -inf
+
+
+def lacks_usable_endpoint(
+    state: DecisionState, proxy: Proxy, traffic_classes: Iterable[int]
+) -> bool:
+    """Whether all endpoints of the proxy's table for one of these classes are ejected."""
+    tables = {proxy.assigned_tables[traffic_class] for traffic_class in traffic_classes}
+    return any(table is not None and table.weights.keys() <= state.ejected_rows for table in tables)
+
+
+def must_wait(
+    state: DecisionState, now: float, proxy: Proxy, traffic_classes: Iterable[int]
+) -> bool:
+    """Whether a proxy is not assigned again yet because its last assignment was rejected."""
+    remaining = proxy.assign_after - now
+    if remaining <= 0.0:
+        return False
+    # The longer delay is cut short for a proxy that has lost all its endpoints since.
+    return remaining <= TICK_INTERVAL or not lacks_usable_endpoint(state, proxy, traffic_classes)
 
 
 def _handle_rejected_ejection(state: DecisionState, now: float, order: SetEjected) -> None:
--- a/dunlinlug/decision/table_update.py
+++ b/dunlinlug/decision/table_update.py
@@ -26,6 +26,7 @@
     Priority,
     Urgency,
 )
+from dunlinlug.decision.order_rejection import must_wait
 from dunlinlug.decision.state.desired_weights import Weights
 from dunlinlug.decision.state.table_versions import StagedUpdate
 from dunlinlug.decision.state.tables import Table
@@ -104,6 +105,8 @@
         old_tables = {each: state.tables.current_tables[each] for each in group}
         table = state.tables.current_tables[group[0]]
         weights = desired.weights[group[0]]
+        if not weights and state.blocked.rows:
+            continue  # orders for all endpoints were rejected: the proxies keep what they have
         shares_table = is_crowded and len(set(old_tables.values())) == 1
         if shares_table and not _needs_split(state, desired, table, weights):
             if not amend_table(state, batch, desired, table, weights):
@@ -196,6 +199,8 @@
         cost = assignment_cost(state, table)
         if not batch.fits(cost, urgency.priority):
             continue
+        if not table.weights and state.blocked.rows and not new_proxies:
+            continue  # all of its entries were rejected
         missing_classes = state.assignments.groups_to_assign(current_tables, table, new_proxies)
         for proxy_id in state.assignments.by_join_order(
             state.assignments.groups[assigned_tables] for assigned_tables in missing_classes
@@ -203,10 +208,10 @@
             proxy = state.assignments.proxies[proxy_id]
             # The proxy was assigned to a subset in this same reply.
             has_subset = is_crowded and proxy.updated_at == batch.now
-            was_rejected = proxy.assign_after > batch.now
+            traffic_classes = missing_classes[proxy.assigned_tables]
+            was_rejected = must_wait(state, batch.now, proxy, traffic_classes)
             is_queue_long = batch.exceeds_drain(urgency.max_drain_time, proxy_id)
             if not (has_subset or was_rejected or is_queue_long):
-                traffic_classes = missing_classes[proxy.assigned_tables]
                 assign_table(state, batch, Assignment(proxy_id, traffic_classes, table), urgency)
             if not batch.fits(cost, urgency.priority):
                 break
--- a/tests/decision/rules_model.py
+++ b/tests/decision/rules_model.py
@@ -63,6 +63,10 @@
 
     `channel_speed` is the actual rate of the channel as a fraction of the configured one. Orders for
     which `is_rejected` is true are not executed, and the module is notified in the next step.
+
+    A proxy that was assigned a table follows this manager's ejections alone: those of the table's
+    entries come with it, also where an earlier ejection of the same worker ended meanwhile without
+    a message to the proxy, as its tables did not have the worker.
     """
 
     def __init__(self, settings: ManagerSettings, channel_speed: float = 1.0) -> None:
@@ -70,6 +74,7 @@
         self.module = Balancer(settings)
         self.is_rejected: Callable[[Order], bool] = lambda order: False
         self.rejected_orders = list[Order]()  # of the last step
+        self.has_rejected = False
         self.orders, self.violated_rules, self.listed = (
             list[Order](),
             set[str](),
@@ -128,8 +133,8 @@
         self.orders = self.module.decide(
             self.now, [*events, *acknowledgements, *rejections, *fired]
         )
-        self.rejected_orders = [order for order in self.orders if self.is_rejected(order)]
-        self._apply_orders([order for order in self.orders if order not in self.rejected_orders])
+        self.rejected_orders = []
+        self._apply_orders()
         self._check_rules()
 
     def _apply(self, proxy: int, effects: list) -> list[Event]:
@@ -147,8 +152,11 @@
                             if self._may_use(proxy, traffic_class, worker)
                         },
                     )
+                    self.ejected_by_proxy[proxy] -= entries.keys()
                     self.ejected_by_proxy[proxy] |= ejected
-                case ("entry", table_id, worker, weight):
+                case ("entry", table_id, worker, weight, is_ejected):
+                    if weight and not is_ejected:
+                        self.ejected_by_proxy[proxy].discard(worker)
                     for traffic_class, (table, entries) in self.applied[proxy].items():
                         if table == table_id and self._may_use(proxy, traffic_class, worker):
                             entries.update({worker: weight})
@@ -203,10 +211,16 @@
                     else:
                         self.unready_since.setdefault(entry.id, self.now)
 
-    def _apply_orders(self, orders: list[Order]) -> None:
+    def _apply_orders(self) -> None:
         effects: dict[int, list] = defaultdict(list)
         entry_counts: dict[int, float] = defaultdict(float)
-        for order in orders:
+        awaited_proxies = set[int]()  # they acknowledge although their orders were rejected
+        for order in self.orders:
+            if self.is_rejected(order):
+                self.rejected_orders.append(order)
+                self.has_rejected = True
+                awaited_proxies |= self._proxies_concerned(order)
+                continue
             match order:
                 case SetWeight(table_id, worker, weight):
                     self._set_weight(table_id, worker, weight, effects, entry_counts)
@@ -218,6 +232,8 @@
                         table_id in assigned.values() for assigned in self.assigned.values()
                     ):
                         self.violated_rules.add("a table in use was deleted")
+                    if table_id not in self.tables and self.has_rejected:
+                        continue  # all of its entries were rejected, or blocked by rejections
                     del self.tables[table_id]
                 case AssignTable(proxy, traffic_classes, table_id):
                     table = self.tables[table_id]
@@ -253,7 +269,9 @@
                     for proxy in (
                         list(self.connected_at)
                         if all_proxies
-                        else [p for p in entry_counts if entry_counts[p]]
+                        else [
+                            p for p in self.connected_at if entry_counts[p] or p in awaited_proxies
+                        ]
                     ):
                         effects[proxy].append(("acknowledge", ack_number))
                         entry_counts[proxy] += 1
@@ -271,6 +289,17 @@
                 at for at in self.sent_times[proxy] if at > self.now - 10.0
             ] + [self.now]
 
+    def _proxies_concerned(self, order: Order) -> set[int]:
+        """Return the proxies that an order is for."""
+        match order:
+            case AssignTable(proxy):
+                return {proxy}
+            case SetWeight(table_id) | SetAdmission(table_id):
+                return {p for p, used in self.assigned.items() if table_id in used.values()}
+            case SetEjected():
+                return set(self.connected_at)
+        return set()
+
     def _set_weight(
         self, table_id: int, worker: str, weight: float, effects: dict, entry_counts: dict
     ) -> None:
@@ -280,7 +309,7 @@
         for proxy, assigned in self.assigned.items():
             if table_id in assigned.values():
                 entry_counts[proxy] += 1
-                effects[proxy].append(("entry", table_id, worker, weight))
+                effects[proxy].append(("entry", table_id, worker, weight, worker in self.ejected))
 
     def _check_rules(self) -> None:
         limits, slowdown = self.settings.safety_limits, 1 / self.channel_speed
--- a/tests/decision/test_order_rejection.py
+++ b/tests/decision/test_order_rejection.py
@@ -34,7 +34,7 @@
 from dunlinlug.decision.timer import TICK_INTERVAL
 from dunlinlug.storage.store import read_rejections
 from tests.decision.rules_model import Model, endpoint, manager_settings
-from tests.decision.test_regressions import crowded_model, report
+from tests.decision.test_regressions import connected_model, crowded_model, report
 from tests.fixtures.manager_process import WORKERS, has_tables, peer, running, until
 
 BLOCKED_SECONDS = SLOW_START_INTERVAL
@@ -329,6 +329,36 @@
     assert not model.violated_rules
 
 
+def test_a_rejected_assignment_does_not_hold_up_the_next_update() -> None:
+    """Guards against waiting for proxies whose assignment is rejected again and again."""
+    model = connected_model()
+    report(model, {}, 2.0)
+    empty_table = model.module.state.tables.last_table_id + 1
+    model.is_rejected = lambda order: (
+        isinstance(order, SetWeight | AssignTable) and order.table_id == empty_table
+    )
+    model.step(0.1, [EndpointsUpdated("changes", (endpoint(9),))])
+    for _ in range(round(2 * BLOCKED_SECONDS / 0.1)):
+        model.step(0.1, [])
+    assert proxies_using(model, endpoint(9).id) == 6 and not model.violated_rules
+
+
+def test_a_proxy_that_lost_its_endpoints_is_assigned_again_with_the_next_tick() -> None:
+    model = connected_model()
+    report(model, {}, 2.0)
+    model.is_rejected = lambda order: isinstance(order, AssignTable)
+    model.step(0.1, [EndpointsUpdated("changes", tuple(endpoint(n) for n in (9, 10)))])
+    for _ in range(10):
+        model.step(0.1, [])
+        if model.rejected_orders:
+            break
+    model.is_rejected = lambda order: False
+    model.step(0.1, [EndpointsUpdated("changes", tuple(endpoint(n, "gone") for n in range(9)))])
+    for _ in range(20):
+        model.step(0.1, [])
+    assert proxies_using(model, endpoint(9).id) == 6 and not model.violated_rules
+
+
 def test_a_worker_that_restarts_stays_ejected_while_its_former_weight_is_installed() -> None:
     model = crowded_model()
     model.is_rejected = lambda order: (
--- a/tests/reference_model/balance.py
+++ b/tests/reference_model/balance.py
@@ -42,7 +42,7 @@
 from dunlinlug.decision.settings import ChannelSettings, ManagerSettings, TrafficClass
 from tests.reference_model.listing import Fleet
 from tests.reference_model.outstanding import PendingAcks, next_free_number
-from tests.reference_model.seating import AssignedTables, Assignments, Table
+from tests.reference_model.seating import AssignedTables, Assignments, Proxy, Table
 from tests.reference_model.state import DesiredState, StagedUpdate
 
 
@@ -844,13 +844,16 @@
                     if table_id not in self.created_tables and previous is not None:
                         table.weights[row], table.weight_fractions[row] = previous
             case AssignTable(proxy_id, traffic_classes, table_id) if proxy_id in proxies:
+                self.assignments.unassign(proxy_id, traffic_classes, table_id)
                 # An empty table is rejected if a proxy connected before the endpoint list arrived.
                 # With the longer delay the proxy would have no endpoint for a slow start step.
-                is_empty = table_id in tables and not tables[table_id].weights
+                is_urgent = (
+                    table_id in tables and not tables[table_id].weights
+                ) or self._lacks_usable_endpoint(proxies[proxy_id], traffic_classes)
                 proxies[proxy_id].assign_after = now + (
-                    self.TICK_INTERVAL if is_empty else self.SLOW_START_INTERVAL
+                    self.TICK_INTERVAL if is_urgent else self.SLOW_START_INTERVAL
                 )
-                self.assignments.unassign(proxy_id, traffic_classes, table_id)
+                proxies[proxy_id].updated_at = -inf
             case SetEjected(worker, is_ejected) if worker in self.fleet.row_by_id:
                 row = self.fleet.row_by_id[worker]
                 if is_ejected and row in self.mandatory_rows:
@@ -870,6 +873,21 @@
             case DeleteTable(table_id):
                 tables.setdefault(table_id, Table(table_id, {}, {}, []))
 
+    def _lacks_usable_endpoint(self, proxy: Proxy, traffic_classes: Iterable[int]) -> bool:
+        """Whether all endpoints of the proxy's table for one of these classes are ejected."""
+        tables = [proxy.assigned_tables[traffic_class] for traffic_class in traffic_classes]
+        return any(
+            table is not None and set(table.weights) <= self.ejected_rows for table in tables
+        )
+
+    def _must_wait(self, now: float, proxy: Proxy, traffic_classes: Iterable[int]) -> bool:
+        """Whether a proxy is not assigned again yet, as its last assignment was rejected."""
+        remaining = proxy.assign_after - now
+        return remaining > 0.0 and (
+            remaining <= self.TICK_INTERVAL
+            or not self._lacks_usable_endpoint(proxy, traffic_classes)
+        )
+
     # The desired state.
 
     def _plan(self, now: float) -> DesiredState:
@@ -1531,6 +1549,8 @@
                 self.current_tables[class_group[0]],
                 weights_by_class[class_group[0]],
             )
+            if not weights and self.blocked_rows:
+                continue
             needs_split = any(
                 current_table is table and weights_by_class[traffic_class] is not weights
                 for traffic_class, current_table in self.current_tables.items()
@@ -1633,6 +1653,8 @@
             for table in dict.fromkeys(
                 self.current_tables[traffic_class] for traffic_class in class_order
             ):
+                if not table.weights and self.blocked_rows and not new_proxies:
+                    continue
                 # The classes for which proxies with these tables are assigned to this one.
                 classes_by_group, cost = (
                     dict[AssignedTables, tuple[int, ...]](),
@@ -1657,7 +1679,9 @@
                     if not (
                         has_new_subset
                         or batch.exceeds_drain(max_drain_time, proxy_id)
-                        or proxy.assign_after > batch.now
+                        or self._must_wait(
+                            batch.now, proxy, classes_by_group[proxy.assigned_tables]
+                        )
                     ):
                         self._assign_table(
                             batch,
