A new leader reports the rejections that the previous one could not

Callers: after a leader's guard had rejected an order and the leader failed before its next batch, its successor took the order for carried out: a rejected ejection was never ordered again, a rejected entry counted as installed.

Cause: rejections are events of the leader's next batch; a standby replays the batch with the rejected orders left out of its tables, while its module is not told.

--- a/dunlinlug/ads/leadership_callbacks.py
+++ b/dunlinlug/ads/leadership_callbacks.py
@@ -68,6 +68,7 @@
         """
         if self.components.validation is not None:
             self._restore_validator(self.components.validation)
+        self.components.loop.submit_unreported_rejections()
         if starts_empty:
             submit_stored_list(self.components)
             if self.overrides is not None:
--- a/dunlinlug/fleet/election/replica.py
+++ b/dunlinlug/fleet/election/replica.py
@@ -106,6 +106,7 @@
         module, snapshot = replicated_state.deserialize_snapshot(body, self.settings)
         self.decision_loop.module = module
         self.decision_loop.timers = snapshot.timers
+        self.decision_loop.unreported_rejections = []
         self.decision_loop.clock_offset = snapshot.now - trio.current_time()
         self.proxy_state.restore(snapshot.epoch, snapshot.tables, snapshot.ejected, snapshot.zones)
         self.proxy_service.proxy_numbers = snapshot.proxy_numbers
--- a/dunlinlug/manager/decision_loop.py
+++ b/dunlinlug/manager/decision_loop.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from dunlinlug.decision.events import EndpointsUpdated, Event, TimerFired
+from dunlinlug.decision.events import EndpointsUpdated, Event, OrderRejected, TimerFired
 from dunlinlug.decision.orders import LogMessage, Order, SetEjected, SetTimer
 from dunlinlug.manager.interfaces import (
     DecisionModule,
@@ -60,6 +60,8 @@
         self.batch_count = 0
         self.clock_offset = 0.0
         self.leadership: ReplicatedLeadership | None = None
+        # Of the last replayed batch with events.
+        self.unreported_rejections = list[OrderRejected]()
         self.stopped = False
 
     def handle_orders(self, order_type: type[OrderT], handler: Callable[[OrderT], None]) -> None:
@@ -176,6 +178,12 @@
         accepted_orders = [
             order for index, order in enumerate(orders) if index not in rejected_indexes
         ]
+        if events:  # with a batch's events the leader reported the rejections of the one before
+            self.unreported_rejections = [
+                OrderRejected(orders[index], "rejected earlier")  # type: ignore[arg-type]
+                for index in rejected_indexes
+                if index < len(orders)
+            ]
         self.order_sink.apply_orders(accepted_orders, trio.current_time())
         self.timers += [
             (now + order.delay, order.token)
@@ -184,6 +192,12 @@
         ]
         heapq.heapify(self.timers)
 
+    def submit_unreported_rejections(self) -> None:
+        """Add the rejections that the previous leader did not report before it stopped leading."""
+        for rejection in self.unreported_rejections:
+            self.submit(rejection)
+        self.unreported_rejections = []
+
     def _dispatch_orders(self, now: float, orders: Sequence[Order]) -> None:
         for order in orders:
             if isinstance(order, SetTimer):
