A rejected assignment to a table still in use keeps its earlier use

Cause: unassign removed every use of the table from what a proxy may be using, also that of an earlier assignment which the proxy still follows; a drain of that table's workers would not be ordered for it. A proxy comes back to a table it still uses where subsets and whole tables follow each other.

--- a/dunlinlug/decision/state/assignments.py
+++ b/dunlinlug/decision/state/assignments.py
@@ -150,16 +150,18 @@
         self.set_tables_in_use(proxy_id, tables_in_use)
 
     def unassign(self, proxy_id: int, traffic_classes: Iterable[int], table_id: int) -> None:
-        """Record that a proxy did not receive this table."""
+        """Record that a proxy did not receive this table when it was last assigned to it.
+
+        It may still use the table since an earlier assignment.
+        """
         tables_in_use = self.proxies[proxy_id].tables_in_use
-        remaining = {
-            traffic_class: [
-                entry
-                for entry in tables_in_use.get(traffic_class, ())
-                if entry[0].table_id != table_id
-            ]
-            for traffic_class in traffic_classes
-        }
+        remaining: TablesInUse = {}
+        for traffic_class in traffic_classes:
+            entries = [*tables_in_use.get(traffic_class, ())]
+            table_ids = [table.table_id for table, _ in entries]
+            if table_id in table_ids:
+                newest = len(table_ids) - 1 - table_ids[::-1].index(table_id)
+                remaining[traffic_class] = [*entries[:newest], *entries[newest + 1 :]]
         self.set_tables_in_use(proxy_id, remaining)
 
     def record_update(
--- a/tests/decision/state/test_state_models.py
+++ b/tests/decision/state/test_state_models.py
@@ -52,6 +52,18 @@
         )
 
 
+def test_a_rejected_assignment_to_a_table_still_in_use_keeps_its_earlier_use() -> None:
+    """Guards against losing sight of a table that a proxy is using."""
+    assignments = Assignments(2)
+    first, second = (assignments.add_table(table(number)) for number in (1, 2))
+    assignments.add_proxy(3, "north")
+    for ack_number, each_table in enumerate((first, second, first), 1):
+        assignments.assign(3, (0, 1), each_table, ack_number, 0.0)
+    assignments.unassign(3, (0, 1), first.table_id)
+    assert assignments.proxies[3].tables_in_use[0] == [(first, 1), (second, 2)]
+    assert first.use_count == 2
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_groups_and_use_counts_equal_recomputed_ones(seed: int) -> None:
     rng, assignments = Random(seed), Assignments(2)
