--- a/tests/race_conditions/roaming_proxies.py
+++ b/tests/race_conditions/roaming_proxies.py
@@ -1,6 +1,8 @@
 """Proxies that reconnect to other managers, and the workers to which they send requests."""
 
 import json
+import socket
+import struct
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -34,6 +36,7 @@
 
     port: int
     opened_at: float
+    ended_at: float | None = None
     update_times: list[float] = field(default_factory=list)
     ack_numbers: set[int] = field(default_factory=set)
     partial_bytes: int = 0  # of a message that was incomplete when the connection ended
@@ -77,6 +80,14 @@
         self.listeners = list[Callable[[], None]]()
         self.requests_per_second = 2.0
         self.write_lock = trio.Lock()
+        self.socket_stream: trio.SocketStream | None = None
+
+    def reset_connection(self) -> None:
+        """Break the open connection, if there is one; the proxy connects again."""
+        if self.socket_stream is not None:
+            linger = struct.pack("ii", 1, 0)
+            self.socket_stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.socket_stream.socket.close()
 
     def usable(self, traffic_class: str = "") -> dict[str, float]:
         """Return the workers that requests may be sent to, with their weights."""
@@ -108,8 +119,10 @@
                     self.refused_at[last_port] = trio.current_time()
                     await trio.sleep(0.02)
             if stream is not None:
+                self.socket_stream = stream
                 async with stream:
                     await self._serve(PlatformClient(stream), last_port)
+            self.socket_stream = None
             self.updated_stream = None
             self._notify()
 
@@ -131,6 +144,7 @@
             pass  # a reset ends the connection like a close
         except* json.JSONDecodeError as error:
             self.errors.append(f"cannot be decoded: {error.exceptions}")
+        stream.ended_at = trio.current_time()
 
     async def _receive_updates(self, client: PlatformClient, stream: Stream) -> None:
         """Apply messages until the connection ends; an incomplete one has no effect."""
