--- a/dunlinlug/fleet/ownership/health_check_assignment.py
+++ b/dunlinlug/fleet/ownership/health_check_assignment.py
@@ -150,6 +150,11 @@
             del self.own_checks[next(iter(self.own_checks))]
         self.in_progress.add(worker)
 
+    def postpone_fallbacks(self, delay: float) -> None:
+        """Postpones the fallback checks of all unanswered requests by some seconds."""
+        for worker in self.pending_requests:
+            self.pending_requests[worker] += delay
+
     def overdue(self, now: float, members: int) -> list[str]:
         """Starts fallback checks of workers whose requests were not answered in time.
 
--- a/dunlinlug/fleet/ownership/shared_health_checks.py
+++ b/dunlinlug/fleet/ownership/shared_health_checks.py
@@ -60,9 +60,15 @@
         ownership.handle_effects(TASK_KIND, self._handle_result)
 
     async def run(self) -> None:
-        """Starts fallback checks for requests that no owner answers."""
+        """Starts fallback checks for requests that no owner answers.
+
+        Time in which this process did not run is not the owner's silence: results that arrived
+        meanwhile have not been read yet.
+        """
         while True:
+            wakes_at = self.ownership.clock() + POLL_INTERVAL
             await trio.sleep(POLL_INTERVAL)
+            self.shared_checks.postpone_fallbacks(self.ownership.clock() - wakes_at)
             members = self.ownership.member_count()
             for worker in self.shared_checks.overdue(self.ownership.clock(), members):
                 self._start_check(worker)
--- /dev/null
+++ b/tests/fleet/ownership/test_health_check_fallback.py
@@ -0,0 +1,68 @@
+"""When a member checks a worker itself because no owner answers, on a clock that the test moves."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+import trio.testing
+
+from dunlinlug.fleet.ownership.shared_health_checks import POLL_INTERVAL, HealthCheckCoordinator
+
+CHECK_TIMEOUT = 0.1
+FALLBACK_AFTER = 2 * CHECK_TIMEOUT
+
+
+class OwnerElsewhere:
+    """Ownership of a member that holds no task; the owner never answers."""
+
+    def __init__(self) -> None:
+        self.requested: list[str] = []
+
+    def clock(self) -> float:
+        return trio.current_time()
+
+    def handle_requests(self, kind: str, handler: Callable[..., Any]) -> None:
+        pass
+
+    def handle_effects(self, kind: str, handler: Callable[..., Any]) -> None:
+        pass
+
+    def request_work(self, task: str, body: bytes) -> None:
+        self.requested.append(body.decode())
+
+    def member_count(self) -> int:
+        return 3
+
+
+async def test_the_time_in_which_a_process_did_not_run_is_not_the_owners_silence(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against fallback checks by a process that was starved or stopped for a while."""
+    checked: list[str] = []
+
+    async def check(worker: str) -> None:
+        checked.append(worker)
+
+    async with trio.open_nursery() as nursery:
+
+        def start_task(task: Callable[[str], Awaitable[None]], worker: str) -> None:
+            nursery.start_soon(task, worker)
+
+        coordinator = HealthCheckCoordinator(
+            OwnerElsewhere(),  # type: ignore[arg-type]
+            CHECK_TIMEOUT,
+            check,
+            lambda _event: None,
+            start_task,
+        )
+        nursery.start_soon(coordinator.run)
+        await trio.testing.wait_all_tasks_blocked()
+        coordinator.request("w1")
+        mock_clock.jump(POLL_INTERVAL + 0.5)  # no task of the process ran for half a second
+        await trio.testing.wait_all_tasks_blocked()
+        assert checked == []
+        for _ in range(3):
+            mock_clock.jump(POLL_INTERVAL)
+            await trio.testing.wait_all_tasks_blocked()
+        assert checked == ["w1"], "an owner that is silent while the process runs is not waited for"
+        nursery.cancel_scope.cancel()
