Tests: what members report of proxies is compared with who leads at that moment

The reports were right; the test compared them with the leader of the start. No fault of the product.

--- a/tests/fleet/election/test_leadership.py
+++ b/tests/fleet/election/test_leadership.py
@@ -1,8 +1,10 @@
 """Leadership among managers that run in this process and communicate over sockets."""
 
 import json
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
@@ -14,7 +16,7 @@
 from dunlinlug.fleet.election.codec import NONCE_BYTES, FrameSealer
 from dunlinlug.xds.subscriber import ProxyState
 from tests.fixtures.manager_process import WORKERS, has_tables, until
-from tests.fixtures.manager_set import fleet
+from tests.fixtures.manager_set import Fleet, fleet
 
 
 def bound_without(proxy_state: ProxyState, *removed: int) -> bool:
@@ -237,6 +239,33 @@
         await until(lambda: run.leader() is standby)
 
 
+def reported_proxies(shown: dict[str, Any]) -> dict[str, int]:
+    return {name: each["proxies"] for name, each in shown["membership"]["burdens"].items()}
+
+
+async def check_reported_proxies(
+    run: Fleet,
+    is_first_leader: bool,
+    shown: dict[str, Any],
+    show: Callable[[], tuple[int, str]],
+) -> None:
+    """Check that the leader reports both proxies, and the others none.
+
+    A starved leader loses its lease, and its proxies move; what members report follows then.
+    """
+
+    def expected(leader: object) -> dict[str, int]:
+        return {name: 2 * (each is leader) for name, each in run.managers.items()}
+
+    if is_first_leader:
+        assert reported_proxies(shown) == expected(run.leader())
+    with trio.fail_after(8.0):
+        while reported_proxies(shown) != expected(await run.wait_for_leader()):
+            status, output = await trio.to_thread.run_sync(show)
+            assert status == 0
+            shown = json.loads(output.splitlines()[0])
+
+
 async def test_the_fleet_command_shows_members_bans_one_and_moves_shards(tmp_path: Path) -> None:
     token = tmp_path / "token"
     token.write_text("a-token-of-the-tests")
@@ -257,6 +286,7 @@
             )
         )
         leader, files = await run.wait_for_leader(), dict[str, Path]()
+        first_term = leader.leadership.protocol.term
         for name, manager in run.managers.items():
             listen_line = "listen = {}:{}\n".format(*manager.admin_address)
             files[name] = tmp_path / f"{name}.ini"
@@ -325,7 +355,13 @@
         status, output = await trio.to_thread.run_sync(run_command, *arguments)
         lines = [json.loads(line) for line in output.splitlines()]
         assert status == 0 and len(lines) == 2
-        assert lines[0]["membership"]["burdens"][leader.leadership.self_id]["proxies"] == 2
+        await check_reported_proxies(
+            run,
+            is_first_leader=run.leader() is leader
+            and leader.leadership.protocol.term == first_term,
+            shown=lines[0],
+            show=lambda: run_command(*arguments[:3]),
+        )
 
 
 async def test_a_successor_uses_its_own_partition_limits_and_not_the_previous_leaders(
