Soak: each run prints how long its processes waited; two leftovers read with names

To tell a starved run by its own figures, the longest oversleep of the run's process and the longest wait of a manager for a processor stand in its line. No rule is judged otherwise.

Beside it: the stand-in proxy compares with the dispatcher's constants, and an attribute of the drawn histories that nobody read is gone.

--- a/dunlinlug/standins/proxy.py
+++ b/dunlinlug/standins/proxy.py
@@ -14,6 +14,7 @@
     RequestDispatcher,
     RequestResult,
     TableSubscriber,
+    request_dispatcher,
 )
 from dunlinlug.config import manager_config
 from dunlinlug.config.reader import ConfigFile
@@ -162,7 +163,7 @@
         headers = dict[str, str]()
         if result.not_executed:
             headers[names.NOT_EXECUTED_HEADER] = "1"
-        if result.reason in ("level", "starting"):
+        if result.reason in (request_dispatcher.NOT_ADMITTED, request_dispatcher.NO_TABLE):
             headers["x-why"] = result.reason
         return http.Response(_status_of(result), headers)
 
--- a/tests/decision/histories.py
+++ b/tests/decision/histories.py
@@ -258,11 +258,7 @@
         self.scheduled, self.sequence = list[tuple[float, int, ScheduledAction]](), count()
         self.workers, self.worker_numbers = dict[str, SimulatedWorker](), count()
         self.zone_by_proxy, self.silent_proxies = dict[int, str](), set[int]()
-        self.requested_at, self.channel_busy_until, self.channel_speed = (
-            dict[int, float](),
-            0.0,
-            1.0,
-        )
+        self.channel_busy_until, self.channel_speed = 0.0, 1.0
         self.load_condition, self.rejection_rates, self.report_offset = (
             "normal",
             dict[type, float](),
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -1,7 +1,9 @@
 """What must hold at each moment of a run; a violation is kept once for each rule and subject."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
+from pathlib import Path
 
 import trio
 
@@ -19,6 +21,14 @@
 UNSERVED_S = 15.0  # longest time without a manager's update; a manager has 10 s to be ready
 
 
+def run_queue_delay(pid: int) -> float:
+    """Return how long a process has waited for a processor so far, in seconds (proc(5))."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, IndexError):
+        return 0.0
+
+
 @dataclass(frozen=True)
 class Violation:
     """A broken rule."""
@@ -39,12 +49,29 @@
         self.began_at = trio.current_time()
         self.without_endpoint_since: dict[int, float] = {}  # by proxy
         self.unserved_since: dict[int, float] = {}
+        self.checked_at = trio.current_time()
+        self.longest_oversleep = 0.0
+        self.longest_wait = 0.0
+        self.manager_pids: Callable[[], list[int]] = list
+        self.run_queue_delays: dict[int, float] = {}  # by process id
         self.up_since: dict[int, float] = {}  # by port: when a manager that is up became ready
         # By port of a stopping manager: the worker that its agent listed as draining only then.
         self.listed_after_stop: dict[int, str] = {}
         for proxy in proxies:
             proxy.listeners.append(lambda proxy=proxy: self._check_update(proxy))
 
+    def _note_starvation(self, interval: float) -> None:
+        """Note the longest time that this process overslept, or a manager waited for a processor."""
+        now = trio.current_time()
+        overslept = now - self.checked_at - interval
+        self.checked_at = now
+        self.longest_oversleep = max(self.longest_oversleep, overslept)
+        for pid in self.manager_pids():
+            waited = run_queue_delay(pid)
+            grown = waited - self.run_queue_delays.get(pid, waited)
+            self.run_queue_delays[pid] = waited
+            self.longest_wait = max(self.longest_wait, grown)
+
     def add(self, rule: str, subject: str, details: str) -> None:
         """Keep a violation, the first one of a rule and subject."""
         at = trio.current_time() - self.began_at
@@ -55,6 +82,7 @@
     async def watch(self, interval: float = 0.05) -> None:
         """Check all rules again and again until cancelled."""
         while True:
+            self._note_starvation(interval)
             for proxy in self.proxies:
                 self._check(proxy)
             await trio.sleep(interval)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,7 +32,7 @@
     SilentConnections,
 )
 from tests.soak.discovery import Agent, Told, changed_instance
-from tests.soak.rules import WARM_UP_S, RuleChecker, Violation
+from tests.soak.rules import WARM_UP_S, RuleChecker, Violation, run_queue_delay
 
 READY_WITHIN_S = 10.0
 SETTLE_S = 6.0  # from the last fault until all proxies must use what is listed
@@ -70,13 +70,16 @@
     restarts: int = 0
     late_stops_not_judged: int = 0
     slowest_start_s: float = 0.0
+    overslept_s: float = 0.0  # by this process, at once
+    waited_s: float = 0.0  # for a processor by a manager, within one check
 
     def summary(self) -> str:
         """Return one line, or the violations with the command that plays the course again."""
         text = (
             f"seed {self.course.seed}: {self.course.proxies} proxies, {self.requests} requests, "
             f"{self.restarts} restarts, slowest start {self.slowest_start_s:.2f} s, "
-            f"{self.late_stops_not_judged} late stops not judged"
+            f"{self.late_stops_not_judged} late stops not judged, "
+            f"overslept {self.overslept_s:.2f} s, a manager waited {self.waited_s:.2f} s"
         )
         if not self.violations:
             return text
@@ -128,6 +131,10 @@
         self.nursery.start_soon(self._run_clients)
         for proxy in self.proxies:
             await proxy.until(proxy.usable, 20.0)
+        self.rules.checked_at = trio.current_time()
+        self.rules.manager_pids = lambda: [
+            running.process.pid for running in self.managers.running.values()
+        ]
         self.nursery.start_soon(self.rules.watch)
 
     async def _run_clients(self) -> None:
@@ -217,7 +224,7 @@
     async def _kill_after_delay(self, state: ManagerState, was_ready: bool) -> None:
         """Kill a manager at the earliest that the page allows; judge how it ended before."""
         process = self.managers.running[state.number].process
-        delay_before = _run_queue_delay(process.pid)
+        delay_before = run_queue_delay(process.pid)
         signalled_at = trio.current_time()
         restore = await self._list_after_stop(state) if was_ready else None
         with trio.move_on_at(signalled_at + KILL_DELAY_S) as scope:
@@ -232,7 +239,7 @@
                 await trio.sleep(0.1)  # the proxies read what was sent
                 self.rules.check_stopped(self.managers.ports[state.number], signalled_at)
             return
-        starved = _run_queue_delay(process.pid) - delay_before
+        starved = run_queue_delay(process.pid) - delay_before
         if was_ready and starved < STARVED_S:
             self.rules.add("stop", f"manager {state.number}", f"runs {KILL_DELAY_S} s after TERM")
         elif was_ready:
@@ -391,6 +398,8 @@
         for log in self.managers.logs:
             if "Traceback" in log.read_text() or "internal_error" in log.read_text():
                 self.rules.add("log", log.name, "a traceback")
+        self.result.overslept_s = self.rules.longest_oversleep
+        self.result.waited_s = self.rules.longest_wait
         self.result.violations = [*self.rules.violations.values()]
         return self.result
 
@@ -443,14 +452,6 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024
 
 
-def _run_queue_delay(pid: int) -> float:
-    """Return how long a process has waited for a processor so far, in seconds (proc(5))."""
-    try:
-        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
-    except (OSError, IndexError):
-        return 0.0
-
-
 async def play_course(course: Course, folder: Path) -> Result:
     """Play a course in an empty folder and return the verdict."""
     folder.mkdir(parents=True, exist_ok=True)
