Platform: incomplete messages are bounded in sum, the largest one's stream ends first

Change: at most 8 MiB in sum (chosen: beside the 21 MB in use it stays under half of the smallest limit, 64 MB). Over that the peer with the largest incomplete message is ended; a useful stream has a few hundred bytes and ends last.

--- a/dunlinlug/platform/connections.py
+++ b/dunlinlug/platform/connections.py
@@ -37,6 +37,8 @@
 # Seconds by which the response time that a proxy measured may exceed the time since the request was
 # sent, as the machines' clocks differ.
 MAX_CLOCK_DIFFERENCE_S = 0.25
+# Bytes of incomplete messages kept for all peers together.
+MAX_PARTIAL_BYTES = 2**23
 
 
 @dataclass(eq=False)
@@ -91,6 +93,8 @@
         self.submit = submit
         self.peer_by_proxy: dict[int, Peer] = {}
         self.collectors: dict[str, list[Peer]] = {zone: [] for zone in zones}
+        self.partial_bytes: dict[Peer, int] = {}  # of the incomplete message of each peer with one
+        self.partial_bytes_total = 0
         self.counts: Counter[str] = Counter()
         self.error_samples: dict[str, str] = {}  # one for each kind since the last summary
 
@@ -112,10 +116,34 @@
         except MalformedMessageError as error:
             peer.ended = True
             raise ConnectionRejectedError(str(error)) from None
+        self._limit_partial_bytes(peer)
         return answer
 
+    def _limit_partial_bytes(self, peer: Peer) -> None:
+        """End peers while the incomplete messages of all are too large, the largest one first.
+
+        A peer that sends messages as they should be has a few hundred bytes of one at most.
+        Raises ConnectionRejectedError if this peer is ended.
+        """
+        self._set_partial_bytes(peer, len(peer.line_splitter.buffer))
+        while self.partial_bytes_total > MAX_PARTIAL_BYTES:
+            largest = max(self.partial_bytes, key=self.partial_bytes.__getitem__)
+            self._set_partial_bytes(largest, 0)
+            largest.line_splitter.buffer.clear()
+            reason = "incomplete messages are too large in sum"
+            if largest is peer:
+                peer.ended = True
+                raise ConnectionRejectedError(reason)
+            self._end_replaced(largest, reason)
+
+    def _set_partial_bytes(self, peer: Peer, byte_count: int) -> None:
+        self.partial_bytes_total += byte_count - self.partial_bytes.pop(peer, 0)
+        if byte_count:
+            self.partial_bytes[peer] = byte_count
+
     def remove_peer(self, peer: Peer) -> None:
         """Remove a peer whose connection has ended."""
+        self._set_partial_bytes(peer, 0)
         if peer.proxy is not None:
             if self.peer_by_proxy.get(peer.proxy) is peer:
                 del self.peer_by_proxy[peer.proxy]
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -17,6 +17,7 @@
 from dunlinlug.platform import connections, messages
 from dunlinlug.platform.connections import (
     MAX_COLLECTORS_PER_ZONE,
+    MAX_PARTIAL_BYTES,
     ConnectionRejectedError,
     Peer,
     PeerRegistry,
@@ -276,3 +277,34 @@
             harness.send(harness.connect(), COLLECTOR_HELLO.replace(b'"a"', b'"none%d"' % n))
         harness.registry.add_sample(f"turned away: {n}", b"x")
     assert len(harness.registry.error_samples) == connections.MAX_SAMPLES
+
+
+def test_incomplete_messages_are_bounded_in_sum_and_the_largest_ends_first() -> None:
+    """Guards against memory that grows with the number of streams that hold back a message."""
+    harness = RegistryHarness()
+    harness.registry.proxy_count = 400
+    hellos = [
+        json.dumps({"@type": "hello", "id": n, "site": "a", "rps": 1.0, "new": True}).encode()
+        for n in range(400)
+    ]
+    others = [harness.join(hello) for hello in hellos]
+    useful = others.pop(17)  # the proxy of the example
+    harness.registry.receive(useful, DEMAND_REPORT[:40], 1.0)
+    largest_sum = 0
+    for size in (2**19, 2**19 - 10):
+        for peer in others:
+            with contextlib.suppress(ConnectionRejectedError):
+                data = b"{" + b" " * size if size == 2**19 else b" " * size
+                harness.registry.receive(peer, data, 1.0)
+            largest_sum = max(
+                largest_sum, sum(len(each.line_splitter.buffer) for each in [useful, *others])
+            )
+    assert largest_sum <= MAX_PARTIAL_BYTES
+    assert harness.registry.partial_bytes_total <= MAX_PARTIAL_BYTES
+    assert not useful.ended and len(harness.ended) + sum(each.ended for each in others) > 300
+    before = len(harness.events)
+    harness.registry.receive(useful, DEMAND_REPORT[40:] + b"\n", 1.0)
+    assert isinstance(harness.events[before], DemandReported)
+    for peer in [useful, *others]:
+        harness.registry.remove_peer(peer)
+    assert harness.registry.partial_bytes_total == 0 and not harness.registry.partial_bytes
