--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -22,6 +22,13 @@
     return "\n".join(parts)
 
 
+def single_errors(error: BaseException) -> list[BaseException]:
+    """Return the errors in a group of any depth, or the error itself."""
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [single for part in error.exceptions for single in single_errors(part)]
+
+
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(
     item: pytest.Item, call: pytest.CallInfo[None]
@@ -29,8 +36,8 @@
     yield
     folder = getattr(item, "funcargs", {}).get("tmp_path")
     if call.when == "call" and call.excinfo is not None and folder is not None:
-        error = f"{call.excinfo.type.__name__}: {call.excinfo.value}"
-        _outputs[item.nodeid] = f"{error}\n{last_lines(folder)}"
+        errors = "\n".join(map(repr, single_errors(call.excinfo.value)))
+        _outputs[item.nodeid] = f"{errors}\n{last_lines(folder)}"
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
