Results of health checks reach all members, with or without a lease

Change: results are facts with an age, sent without a lease and taken without a fencing check; members that do not own the worker pass on healthy results only; of two results the later is kept. The wire is as before.

Why it works: an answer no longer depends on the lease, so no member waits for a result that exists.

--- a/dunlinlug/fleet/ownership/executor.py
+++ b/dunlinlug/fleet/ownership/executor.py
@@ -15,24 +15,31 @@
 
 
 class EffectExecutor:
-    """Passes effects with valid fencing tokens to their handlers."""
+    """Passes effects with valid fencing tokens to their handlers.
+
+    Attributes:
+        handlers: Handlers of effects by task kind.
+        unfenced_kinds: Task kinds whose effects are passed on whatever token they bear.
+    """
 
     def __init__(self, protocol: OwnershipProtocol, log_event: Callable[..., None]) -> None:
         self.protocol = protocol
         self.log_event = log_event
         self.fencing = FencingGuard()
-        self.handlers: dict[str, Callable[[Effect], None]] = {}  # by kind of task
+        self.handlers: dict[str, Callable[[Effect], None]] = {}
+        self.unfenced_kinds = set[str]()
 
     def execute(self, effect: Effect) -> EffectResult | None:
         """Executes an effect, or returns the rejection to send to its sender.
 
         A duplicate effect is ignored.
         """
-        reason = self._rejection_reason(effect)
+        kind = task_kind(effect.task)
+        reason = "" if kind in self.unfenced_kinds else self._rejection_reason(effect)
         if reason or effect.task.startswith(LOGGED_TASK_PREFIX):
             self._log_effect(effect, reason)
         if not reason:
-            handler = self.handlers.get(task_kind(effect.task))
+            handler = self.handlers.get(kind)
             if handler is not None:
                 handler(effect)
             return None
--- a/dunlinlug/fleet/ownership/health_check_assignment.py
+++ b/dunlinlug/fleet/ownership/health_check_assignment.py
@@ -131,9 +131,12 @@
         return RemoteResultUse.SUBMIT if awaited else RemoteResultUse.STORE
 
     def _store_result(self, result: HealthCheckResult) -> bool:
-        """Stores a result and clears its worker's request; returns whether there was one."""
-        self.results.pop(result.worker, None)
-        self.results[result.worker] = result
+        """Stores a result and clears its worker's request; returns whether there was one.
+
+        Several members send results, so that one can arrive after a later one: the later is kept.
+        """
+        previous = self.results.pop(result.worker, result)
+        self.results[result.worker] = max(previous, result, key=lambda known: known.completed_at)
         if len(self.results) > MAX_WORKERS:
             del self.results[next(iter(self.results))]
         return self.pending_requests.pop(result.worker, None) is not None
--- a/dunlinlug/fleet/ownership/protocol.py
+++ b/dunlinlug/fleet/ownership/protocol.py
@@ -109,10 +109,21 @@
 
         Callers must check again right before they send each effect, with no wait in between.
         """
+        token = self.assigned_token(shard)
+        if token is None or token > self.lease.highest_token(now):
+            return None
+        return token
+
+    def assigned_token(self, shard: int) -> int | None:
+        """Returns the token of a shard that this member owns by its log; None if it does not.
+
+        The token alone permits no effect: the lease may have expired, and another may own the
+        shard by a log entry that this member lacks.
+        """
         token = self.assignments.tokens[shard]
         if not self.replica.owns(self.self_id, shard) or not self.releases.allows(shard, token):
             return None
-        return token if token <= self.lease.highest_token(now) else None
+        return token
 
     def owner_of(self, task: str) -> tuple[str, int]:
         """Returns the last known owner of a task, and the token of its shard."""
--- a/dunlinlug/fleet/ownership/service.py
+++ b/dunlinlug/fleet/ownership/service.py
@@ -18,6 +18,7 @@
 from dunlinlug.fleet.election import messages as log_messages
 from dunlinlug.fleet.election.transport import OWNERSHIP_PREFACE, PeerTransport
 from dunlinlug.fleet.ownership.executor import EffectExecutor, task_kind
+from dunlinlug.fleet.ownership.fencing import NO_TOKEN
 from dunlinlug.fleet.ownership.messages import (
     MESSAGE_TYPES,
     SHARDS,
@@ -125,6 +126,14 @@
         """Registers the handler of effects for a task kind that pass the fencing check."""
         self.executor.handlers[kind] = handler
 
+    def handle_unfenced_effects(self, kind: str, handler: Callable[[Effect], None]) -> None:
+        """Registers the handler of all effects for a task kind, without a fencing check.
+
+        For effects that do no harm if they are late, repeated, or sent by several members.
+        """
+        self.executor.handlers[kind] = handler
+        self.executor.unfenced_kinds.add(kind)
+
     def handle_requests(self, kind: str, handler: Callable[[WorkRequest], None]) -> None:
         """Registers the handler of work requests for tasks of a kind.
 
@@ -141,6 +150,10 @@
         """
         return self.protocol.held_token(self.clock(), self._shard_of(task))
 
+    def is_assigned(self, task: str) -> bool:
+        """Returns whether this member owns a task by its log, with or without a valid lease."""
+        return self.protocol.assigned_token(self._shard_of(task)) is not None
+
     def owner_of(self, task: str) -> str:
         """Returns the last known owner of a task; empty if it has none."""
         return self.protocol.owner_of(task)[0]
@@ -167,6 +180,19 @@
         if token is None:
             self.counters["not_ours"] += 1
             return False
+        self._send_effect(recipient, task, token, body)
+        return True
+
+    def send_unfenced_effect(self, recipient: str, task: str, body: bytes) -> None:
+        """Sends an effect that needs no lease, as its recipients make no fencing check.
+
+        It bears the token under which this member owns the task by its log, if there is one:
+        members of an earlier version check it.
+        """
+        token = self.protocol.assigned_token(self._shard_of(task))
+        self._send_effect(recipient, task, token or NO_TOKEN.number, body)
+
+    def _send_effect(self, recipient: str, task: str, token: int, body: bytes) -> None:
         shard = self._shard_of(task)
         self.effect_sequences[shard] += 1
         sequence = self.effect_sequences[shard]
@@ -176,7 +202,6 @@
             self._execute_effect(effect)
         else:
             self.transport.send(recipient, effect)
-        return True
 
     def request_work(self, task: str, body: bytes) -> bool:
         """Requests work on a task from its owner; returns False if the task has no known owner."""
--- a/dunlinlug/fleet/ownership/shared_health_checks.py
+++ b/dunlinlug/fleet/ownership/shared_health_checks.py
@@ -57,7 +57,7 @@
         self.shared_checks = SharedHealthChecks(timeout)
         self.checks_started = 0
         ownership.handle_requests(TASK_KIND, self._handle_request)
-        ownership.handle_effects(TASK_KIND, self._handle_result)
+        ownership.handle_unfenced_effects(TASK_KIND, self._handle_result)
 
     async def run(self) -> None:
         """Starts fallback checks for requests that no owner answers.
@@ -110,13 +110,20 @@
         self._broadcast(result)
 
     def _broadcast(self, result: HealthCheckResult) -> None:
+        """Sends a result to all other members, whether or not this member holds a lease.
+
+        Only an owner sends a failed check: from others it would not save an own check.
+        """
+        task = task_of(result.worker)
+        if not result.healthy and not self.ownership.is_assigned(task):
+            return
         age = self.ownership.clock() - result.completed_at
         broadcast = HealthCheckBroadcast(
             result.worker, result.healthy, result.result, result.duration, age
         )
         body = msgspec.msgpack.encode(broadcast)
         for member in self.ownership.other_members():
-            self.ownership.send_effect(member, task_of(result.worker), body)
+            self.ownership.send_unfenced_effect(member, task, body)
 
     def _handle_result(self, effect: Effect) -> None:
         """Handles another member's result; handling the same result twice is harmless."""
--- a/tests/fleet/ownership/test_health_check_assignment.py
+++ b/tests/fleet/ownership/test_health_check_assignment.py
@@ -58,6 +58,15 @@
     )
 
 
+def test_of_two_results_the_later_is_kept_in_whatever_order_they_arrive() -> None:
+    shared = SharedHealthChecks(0.4)
+    later = HealthCheckResult("w", True, "ok", 0.1, 10.0)
+    earlier = HealthCheckResult("w", False, "timeout", 0.4, 9.9)
+    shared.record_remote_result(later, 10.1, 3)
+    shared.record_remote_result(earlier, 10.2, 3)
+    assert shared.request(10.3, "w") == later
+
+
 def test_workers_are_spread_evenly_over_the_groups() -> None:
     sizes = Counter(task_of(f"10.0.0.{number}:80") for number in range(6400))
     assert len(sizes) == WORKER_GROUPS
--- a/tests/fleet/ownership/test_health_check_fallback.py
+++ b/tests/fleet/ownership/test_health_check_fallback.py
@@ -24,7 +24,7 @@
     def handle_requests(self, kind: str, handler: Callable[..., Any]) -> None:
         pass
 
-    def handle_effects(self, kind: str, handler: Callable[..., Any]) -> None:
+    def handle_unfenced_effects(self, kind: str, handler: Callable[..., Any]) -> None:
         pass
 
     def request_work(self, task: str, body: bytes) -> None:
--- /dev/null
+++ b/tests/fleet/ownership/test_health_checks_after_pauses.py
@@ -0,0 +1,54 @@
+"""Health checks shared by members whose process stands still at a chosen moment."""
+
+from collections import Counter
+from pathlib import Path
+
+import trio
+import trio.testing
+
+from dunlinlug.decision.events import HealthCheckCompleted
+from dunlinlug.fleet.ownership.health_check_assignment import task_of
+from tests.fixtures.manager_process import until
+from tests.fleet.ownership.in_memory_members import LATENCY, running_in_memory
+from tests.fleet.ownership.members import CHECK_DURATION, TIMING
+
+NAMES = "abcde"
+WORKERS = [f"w{number}" for number in range(24)]
+PAUSE = TIMING.lease + 0.1  # seconds; longer than every lease
+ONE_CHECK_EACH = Counter(dict.fromkeys(WORKERS, 1))
+ONE_RESULT_EACH = Counter(dict.fromkeys(NAMES, len(WORKERS)))
+
+
+async def test_results_of_checks_during_which_leases_expired_reach_all_members(
+    autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against results that no other member hears of, so that each one checks again."""
+    async with running_in_memory(tmp_path, NAMES) as members:
+        members.request_all(WORKERS)
+        await trio.sleep(CHECK_DURATION / 2)
+        assert members.checks == ONE_CHECK_EACH
+        assert not members.results
+        autojump_clock.jump(PAUSE)
+        await until(lambda: members.results == ONE_RESULT_EACH)
+        await trio.sleep(TIMING.lease)
+    assert members.checks == ONE_CHECK_EACH
+    assert members.results == ONE_RESULT_EACH
+
+
+async def test_a_member_that_is_not_the_owner_reports_healthy_workers_only(
+    autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    async with running_in_memory(tmp_path, "abc") as members:
+        task = task_of(WORKERS[0])
+        owner = members.ownerships["a"].owner_of(task)
+        other = next(name for name in members.ownerships if name != owner)
+        sent = members.transports[other].sent
+        failed = HealthCheckCompleted(WORKERS[0], False, "timeout", CHECK_DURATION)
+        members.coordinators[other].check_completed(failed)
+        assert sent["Effect"] == 0
+        healthy = HealthCheckCompleted(WORKERS[0], True, "ok", CHECK_DURATION)
+        members.coordinators[other].check_completed(healthy)
+        assert sent["Effect"] == 2
+        await trio.sleep(2 * LATENCY)
+        known = members.coordinators[owner].shared_checks.results[WORKERS[0]]
+        assert known.healthy, "accepted without a token"
