An owner between two leases answers requests for health checks

Cause: an owner by the log whose lease had just expired ignored requests, and nobody asked it again once it had the lease back. After 0.2 s each member made its own check, all at once.

Change: such an owner makes the check as one of its own, no more often than its fallback checks, and tells all members.

Why it works: one member checks, the same one for all that ask, and its answer comes within milliseconds instead of never.

--- a/dunlinlug/fleet/ownership/health_check_assignment.py
+++ b/dunlinlug/fleet/ownership/health_check_assignment.py
@@ -47,6 +47,7 @@
 
     START_CHECK = auto()
     AWAIT_CHECK = auto()  # a check of the worker is in progress
+    IGNORE = auto()  # without a lease this member checked the worker too recently
 
 
 class RemoteResultUse(Enum):
@@ -95,13 +96,37 @@
         Returns:
             A fresh result to broadcast at once, or what to do to get one.
         """
+        known = self._known_answer(now, worker)
+        if known is not None:
+            return known
+        self.in_progress.add(worker)
+        return OwnerAction.START_CHECK
+
+    def request_between_leases(
+        self, now: float, worker: str, members: int
+    ) -> HealthCheckResult | OwnerAction:
+        """Handles a request to this member as the owner by its log whose lease has expired.
+
+        Another member may own the group already, so a check is this member's own, and as infrequent
+        as its fallback checks. `members` is the number of members.
+
+        Returns:
+            A fresh result to broadcast at once, or what to do to get one.
+        """
+        known = self._known_answer(now, worker)
+        if known is not None:
+            return known
+        if self._next_allowed_at(worker, members) > now:
+            return OwnerAction.IGNORE
+        self._start_check(now, worker)
+        return OwnerAction.START_CHECK
+
+    def _known_answer(self, now: float, worker: str) -> HealthCheckResult | OwnerAction | None:
+        """Returns what answers a request without a new check, or None."""
         result = self._fresh_result(now, worker)
         if result is not None:
             return result
-        if worker in self.in_progress:
-            return OwnerAction.AWAIT_CHECK
-        self.in_progress.add(worker)
-        return OwnerAction.START_CHECK
+        return OwnerAction.AWAIT_CHECK if worker in self.in_progress else None
 
     def _fresh_result(self, now: float, worker: str) -> HealthCheckResult | None:
         result = self.results.get(worker)
--- a/dunlinlug/fleet/ownership/shared_health_checks.py
+++ b/dunlinlug/fleet/ownership/shared_health_checks.py
@@ -84,13 +84,18 @@
     def _handle_request(self, request: WorkRequest) -> None:
         """Handles a member's request to the owner of a worker's group.
 
-        Ignored if this member does not hold the task: the sender then makes a fallback check.
+        Ignored if this member does not own the task: the sender then makes a fallback check.
         """
         worker = request.body.decode(errors="replace")
         task = task_of(worker)
-        if self.ownership.held_token(task) is None or request.task != task:
+        if request.task != task or not self.ownership.is_assigned(task):
             return
-        answer = self.shared_checks.request_as_owner(self.ownership.clock(), worker)
+        now = self.ownership.clock()
+        if self.ownership.held_token(task) is not None:
+            answer = self.shared_checks.request_as_owner(now, worker)
+        else:
+            members = self.ownership.member_count()
+            answer = self.shared_checks.request_between_leases(now, worker, members)
         if isinstance(answer, HealthCheckResult):
             self._broadcast(answer)
         elif answer is OwnerAction.START_CHECK:
--- a/tests/fleet/ownership/test_health_check_assignment.py
+++ b/tests/fleet/ownership/test_health_check_assignment.py
@@ -58,6 +58,19 @@
     )
 
 
+def test_between_leases_an_owner_checks_as_infrequently_as_without_a_request() -> None:
+    shared = SharedHealthChecks(0.4)
+    assert shared.request_between_leases(10.0, "w", 3) is OwnerAction.START_CHECK
+    assert shared.request_between_leases(10.1, "w", 3) is OwnerAction.AWAIT_CHECK
+    result = HealthCheckResult("w", True, "ok", 0.1, 10.2)
+    shared.record_own_result(result)
+    assert shared.request_between_leases(10.3, "w", 3) == result
+    assert shared.request_between_leases(12.9, "w", 3) is OwnerAction.IGNORE
+    assert shared.request_as_owner(12.9, "w") is OwnerAction.START_CHECK
+    shared.record_own_result(HealthCheckResult("w", True, "ok", 0.1, 13.0))
+    assert shared.request_between_leases(15.0, "w", 3) is OwnerAction.START_CHECK
+
+
 def test_of_two_results_the_later_is_kept_in_whatever_order_they_arrive() -> None:
     shared = SharedHealthChecks(0.4)
     later = HealthCheckResult("w", True, "ok", 0.1, 10.0)
--- a/tests/fleet/ownership/test_health_checks_after_pauses.py
+++ b/tests/fleet/ownership/test_health_checks_after_pauses.py
@@ -52,3 +52,16 @@
         await trio.sleep(2 * LATENCY)
         known = members.coordinators[owner].shared_checks.results[WORKERS[0]]
         assert known.healthy, "accepted without a token"
+
+
+async def test_requests_to_an_owner_whose_lease_has_expired_lead_to_one_check(
+    autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against owners that ignore requests between two leases: all members then check."""
+    async with running_in_memory(tmp_path, NAMES) as members:
+        autojump_clock.jump(PAUSE)
+        members.request_all(WORKERS)
+        await until(lambda: members.results == ONE_RESULT_EACH)
+        await trio.sleep(TIMING.lease)
+    assert members.checks == ONE_CHECK_EACH
+    assert members.results == ONE_RESULT_EACH
