A busy member's delays do not count as silence of a health check's owner

Cause: a member looked at its unanswered requests every 0.1 s and postponed fallback checks by what it overslept. A process short of CPU is late by less than that many times over; none of it was counted, so that after 0.2 s it checked workers whose results waited in its queues.

Change: while requests are unanswered the member looks every 0.01 s; without any it sleeps until the first one. POLL_INTERVAL is chosen, not tuned: a twentieth of the shortest wait in the tests, an eightieth of the default one.

The test of a process that stands still counted its looks as three, which is the wait and one more at 0.1 s; the number follows from the interval now, its assertions are unchanged, and it passes on both texts. Its set-up is shared by the two.

--- a/dunlinlug/fleet/ownership/shared_health_checks.py
+++ b/dunlinlug/fleet/ownership/shared_health_checks.py
@@ -19,7 +19,9 @@
 from dunlinlug.fleet.ownership.service import Ownership
 
 TASK_KIND = "probe"
-POLL_INTERVAL = 0.1  # seconds between checks for unanswered requests
+# Seconds between polls of unanswered requests. A delay of this process is noticed only where it
+# outlasts a poll.
+POLL_INTERVAL = 0.01
 
 
 class HealthCheckBroadcast(msgspec.Struct, frozen=True, array_like=True):
@@ -56,30 +58,51 @@
         self.start_task = start_task
         self.shared_checks = SharedHealthChecks(timeout)
         self.checks_started = 0
+        self.requested = trio.Event()  # set by the first request after a time without any
+        self.first_requested_at = 0.0  # seconds on this member's clock
         ownership.handle_requests(TASK_KIND, self._handle_request)
         ownership.handle_unfenced_effects(TASK_KIND, self._handle_result)
 
     async def run(self) -> None:
         """Starts fallback checks for requests that no owner answers.
 
-        Time in which this process did not run is not the owner's silence: results that arrived
-        meanwhile have not been read yet.
+        Time in which this process did not run, or was busy, is not the owner's silence: results
+        that arrived meanwhile have not been read yet.
         """
         while True:
-            wakes_at = self.ownership.clock() + POLL_INTERVAL
-            await trio.sleep(POLL_INTERVAL)
-            self.shared_checks.postpone_fallbacks(self.ownership.clock() - wakes_at)
+            delay = await self._wait_for_poll()
+            self.shared_checks.postpone_fallbacks(delay)
             members = self.ownership.member_count()
             for worker in self.shared_checks.overdue(self.ownership.clock(), members):
                 self._start_check(worker)
 
+    async def _wait_for_poll(self) -> float:
+        """Waits until the next poll is due; returns by how many seconds this process is late.
+
+        While there are no unanswered requests, the next poll is due with the first request.
+        """
+        if self.shared_checks.pending_requests:
+            due_at = self.ownership.clock() + POLL_INTERVAL
+            await trio.sleep(POLL_INTERVAL)
+        else:
+            self.requested = trio.Event()
+            await self.requested.wait()
+            due_at = self.first_requested_at
+        return self.ownership.clock() - due_at
+
     def request(self, worker: str) -> None:
         """Handles a check order of the decision module."""
         result = self.shared_checks.request(self.ownership.clock(), worker)
-        if result is None:
-            self.ownership.request_work(task_of(worker), worker.encode())
-        else:
+        if result is not None:
             self.submit(_completed(result))
+            return
+        self._start_polling()
+        self.ownership.request_work(task_of(worker), worker.encode())
+
+    def _start_polling(self) -> None:
+        if not self.requested.is_set():
+            self.first_requested_at = self.ownership.clock()
+            self.requested.set()
 
     def _handle_request(self, request: WorkRequest) -> None:
         """Handles a member's request to the owner of a worker's group.
--- a/tests/fleet/ownership/test_health_check_fallback.py
+++ b/tests/fleet/ownership/test_health_check_fallback.py
@@ -1,6 +1,8 @@
 """When a member checks a worker itself because no owner answers, on a clock that the test moves."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from math import ceil
 from typing import Any
 
 import trio
@@ -10,6 +12,8 @@
 
 CHECK_TIMEOUT = 0.1
 FALLBACK_AFTER = 2 * CHECK_TIMEOUT
+POLLS_BEFORE_FALLBACK = ceil(FALLBACK_AFTER / POLL_INTERVAL) + 1
+BUSY_SECONDS = 0.06  # in which a busy process runs no other task
 
 
 class OwnerElsewhere:
@@ -34,11 +38,9 @@
         return 3
 
 
-async def test_the_time_in_which_a_process_did_not_run_is_not_the_owners_silence(
-    mock_clock: trio.testing.MockClock,
-) -> None:
-    """Guards against fallback checks by a process that was starved or stopped for a while."""
-    checked: list[str] = []
+@asynccontextmanager
+async def running_coordinator(checked: list[str]) -> AsyncIterator[HealthCheckCoordinator]:
+    """Runs a coordinator that records in `checked` which workers it checks."""
 
     async def check(worker: str) -> None:
         checked.append(worker)
@@ -57,12 +59,41 @@
         )
         nursery.start_soon(coordinator.run)
         await trio.testing.wait_all_tasks_blocked()
+        yield coordinator
+        nursery.cancel_scope.cancel()
+
+
+async def test_the_time_in_which_a_process_did_not_run_is_not_the_owners_silence(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against fallback checks by a process that was starved or stopped for a while."""
+    checked: list[str] = []
+    async with running_coordinator(checked) as coordinator:
         coordinator.request("w1")
         mock_clock.jump(POLL_INTERVAL + 0.5)  # no task of the process ran for half a second
         await trio.testing.wait_all_tasks_blocked()
         assert checked == []
+        for _ in range(POLLS_BEFORE_FALLBACK):
+            mock_clock.jump(POLL_INTERVAL)
+            await trio.testing.wait_all_tasks_blocked()
+        assert checked == ["w1"], "an owner that is silent while the process runs is not waited for"
+
+
+async def test_a_process_that_is_busy_does_not_take_its_delay_for_the_owners_silence(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against fallback checks by a process that runs, but late, for longer than the wait."""
+    checked: list[str] = []
+    async with running_coordinator(checked) as coordinator:
+        coordinator.request("w1")
         for _ in range(3):
+            waited = 0.0
+            while waited < FALLBACK_AFTER:
+                mock_clock.jump(BUSY_SECONDS)
+                await trio.testing.wait_all_tasks_blocked()
+                waited += BUSY_SECONDS
+        assert checked == []
+        for _ in range(POLLS_BEFORE_FALLBACK):
             mock_clock.jump(POLL_INTERVAL)
             await trio.testing.wait_all_tasks_blocked()
         assert checked == ["w1"], "an owner that is silent while the process runs is not waited for"
-        nursery.cancel_scope.cancel()
