A late request for a health check is answered to its sender alone

Cause: an owner that had a fresh result answered each further request by telling every member, though only the sender can lack it: four messages for one with five members. Since owners between two leases did so too, just after a pause, when all requests come late.

Change: the answer goes to the sender; the result of a check still goes to all.

Evidence: the new test counts the owner's messages, 8 on and 5 now, of which four tell of the check.

--- a/dunlinlug/fleet/ownership/health_check_assignment.py
+++ b/dunlinlug/fleet/ownership/health_check_assignment.py
@@ -94,7 +94,7 @@
         """Handles a member's request to this member as the owner.
 
         Returns:
-            A fresh result to broadcast at once, or what to do to get one.
+            A fresh result to answer with at once, or what to do to get one.
         """
         known = self._known_answer(now, worker)
         if known is not None:
@@ -111,7 +111,7 @@
         as its fallback checks. `members` is the number of members.
 
         Returns:
-            A fresh result to broadcast at once, or what to do to get one.
+            A fresh result to answer with at once, or what to do to get one.
         """
         known = self._known_answer(now, worker)
         if known is not None:
--- a/dunlinlug/fleet/ownership/shared_health_checks.py
+++ b/dunlinlug/fleet/ownership/shared_health_checks.py
@@ -120,7 +120,7 @@
             members = self.ownership.member_count()
             answer = self.shared_checks.request_between_leases(now, worker, members)
         if isinstance(answer, HealthCheckResult):
-            self._broadcast(answer)
+            self._send_result(answer, [request.sender])
         elif answer is OwnerAction.START_CHECK:
             self._start_check(worker)
 
@@ -135,10 +135,10 @@
         result = HealthCheckResult(event.worker, event.healthy, event.result, event.latency, now)
         if self.shared_checks.record_own_result(result):
             self.submit(event)
-        self._broadcast(result)
+        self._send_result(result, self.ownership.other_members())
 
-    def _broadcast(self, result: HealthCheckResult) -> None:
-        """Sends a result to all other members, whether or not this member holds a lease.
+    def _send_result(self, result: HealthCheckResult, recipients: list[str]) -> None:
+        """Sends a result to other members, whether or not this member holds a lease.
 
         Only an owner sends a failed check: from others it would not save an own check.
         """
@@ -150,7 +150,7 @@
             result.worker, result.healthy, result.result, result.duration, age
         )
         body = msgspec.msgpack.encode(broadcast)
-        for member in self.ownership.other_members():
+        for member in recipients:
             self.ownership.send_unfenced_effect(member, task, body)
 
     def _handle_result(self, effect: Effect) -> None:
--- a/tests/fleet/ownership/test_health_checks_after_pauses.py
+++ b/tests/fleet/ownership/test_health_checks_after_pauses.py
@@ -65,3 +65,21 @@
         await trio.sleep(TIMING.lease)
     assert members.checks == ONE_CHECK_EACH
     assert members.results == ONE_RESULT_EACH
+
+
+async def test_a_request_that_comes_after_the_check_is_answered_to_its_sender_alone(
+    autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """Guards against messages in proportion to the square of the members in a starved process."""
+    async with running_in_memory(tmp_path, NAMES) as members:
+        task = task_of(WORKERS[0])
+        owner = members.ownerships["a"].owner_of(task)
+        other = next(name for name in NAMES if name != owner)
+        sent = members.transports[owner].sent
+        members.coordinators[other].request(WORKERS[0])
+        await until(lambda: members.results[other] == 1)
+        assert sent["Effect"] == len(NAMES) - 1, "all members learn of the check"
+        members.ownerships[other].request_work(task, WORKERS[0].encode())
+        await trio.sleep(4 * LATENCY)
+        assert sent["Effect"] == len(NAMES), "only the sender is told once more"
+    assert members.checks == Counter([WORKERS[0]])
