--- a/tests/fleet/ownership/test_health_checks_after_pauses.py
+++ b/tests/fleet/ownership/test_health_checks_after_pauses.py
@@ -1,8 +1,11 @@
-"""Health checks shared by members whose process stands still at a chosen moment."""
+"""Health checks shared by members whose process stands still at chosen or drawn moments."""
 
+import time
 from collections import Counter
 from pathlib import Path
+from random import Random
 
+import pytest
 import trio
 import trio.testing
 
@@ -10,11 +13,14 @@
 from dunlinlug.fleet.ownership.health_check_assignment import task_of
 from tests.fixtures.manager_process import until
 from tests.fleet.ownership.in_memory_members import LATENCY, running_in_memory
-from tests.fleet.ownership.members import CHECK_DURATION, TIMING
+from tests.fleet.ownership.members import CHECK_DURATION, TIMING, OwnershipMembers
 
 NAMES = "abcde"
 WORKERS = [f"w{number}" for number in range(24)]
 PAUSE = TIMING.lease + 0.1  # seconds; longer than every lease
+# Seconds for which a starved process at most stands still, and runs in between.
+STARVED_PAUSE = 0.05
+STARVED_RUN = 0.01
 ONE_CHECK_EACH = Counter(dict.fromkeys(WORKERS, 1))
 ONE_RESULT_EACH = Counter(dict.fromkeys(NAMES, len(WORKERS)))
 
@@ -83,3 +89,27 @@
         await trio.sleep(4 * LATENCY)
         assert sent["Effect"] == len(NAMES), "only the sender is told once more"
     assert members.checks == Counter([WORKERS[0]])
+
+
+async def stand_still_again_and_again(seed: int) -> None:
+    """Blocks the process for drawn times, as if other processes had taken its processor."""
+    rng = Random(seed)
+    while True:
+        time.sleep(rng.uniform(0.0, STARVED_PAUSE))
+        await trio.sleep(rng.uniform(0.0, STARVED_RUN))
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_members_of_a_process_that_is_short_of_cpu_check_a_worker_once(
+    five_members: OwnershipMembers, seed: int
+) -> None:
+    """Guards against fallback checks by members that are slow to read what owners have sent."""
+    ownerships = five_members.ownerships.values()
+    await until(lambda: min(len(ownership.protocol.held_shards) for ownership in ownerships) >= 51)
+    five_members.nursery.start_soon(stand_still_again_and_again, seed)
+    await trio.sleep(TIMING.lease)
+    for coordinator in five_members.coordinators.values():
+        for worker in WORKERS:
+            coordinator.request(worker)
+    await until(lambda: len(five_members.submitted) == len(NAMES) * len(WORKERS))
+    assert five_members.checks == ONE_CHECK_EACH
