A failed check of another member answers no request without an own check

Callers: a worker that this manager reaches could stay ejected for one more round of checks; not seen, found by reading.

Cause: another member's failed check is confirmed by an own one before the decision module gets it, but only where the module waited as it came.

Change: such a result is stored as not confirmed; a request asks the owner, and what it answers is confirmed as before.

--- a/dunlinlug/fleet/ownership/health_check_assignment.py
+++ b/dunlinlug/fleet/ownership/health_check_assignment.py
@@ -11,7 +11,7 @@
 check of its own, at the same low frequency.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 import xxhash
@@ -40,6 +40,7 @@
     result: str
     duration: float  # seconds
     completed_at: float  # seconds on this member's clock
+    confirmed: bool = True  # false for a failed check that only another member has made
 
 
 class OwnerAction(Enum):
@@ -86,9 +87,10 @@
             A fresh result, or None if the decision module has to wait for one.
         """
         result = self._fresh_result(now, worker)
-        if result is None:
-            self.pending_requests[worker] = now + OWNER_TIMEOUT_MULTIPLE * self.timeout
-        return result
+        if result is not None and result.confirmed:
+            return result
+        self.pending_requests[worker] = now + OWNER_TIMEOUT_MULTIPLE * self.timeout
+        return None
 
     def request_as_owner(self, now: float, worker: str) -> HealthCheckResult | OwnerAction:
         """Handles a member's request to this member as the owner.
@@ -146,7 +148,10 @@
 
         `members` is the number of members.
         """
-        if result.worker in self.pending_requests and not result.healthy:
+        if not result.healthy:
+            if result.worker not in self.pending_requests:
+                self._store_result(replace(result, confirmed=False))
+                return RemoteResultUse.STORE
             if result.worker in self.in_progress:
                 return RemoteResultUse.STORE  # the own check in progress will answer the request
             if self._next_allowed_at(result.worker, members) <= now:
--- a/tests/fleet/ownership/test_health_check_assignment.py
+++ b/tests/fleet/ownership/test_health_check_assignment.py
@@ -71,6 +71,18 @@
     assert shared.request_between_leases(15.0, "w", 3) is OwnerAction.START_CHECK
 
 
+def test_an_owners_failed_check_answers_no_later_request_without_an_own_check() -> None:
+    """Guards against a report that came just before this member's decision module asked."""
+    shared = SharedHealthChecks(0.4)
+    failed = HealthCheckResult("w", False, "timeout", 0.4, 10.0)
+    shared.record_remote_result(failed, 10.0, 3)
+    assert shared.request(10.5, "w") is None
+    assert shared.record_remote_result(failed, 10.6, 3) is RemoteResultUse.CHECK_FIRST
+    confirmed = HealthCheckResult("w", False, "timeout", 0.4, 11.0)
+    assert shared.record_own_result(confirmed)
+    assert shared.request(11.5, "w") == confirmed
+
+
 def test_of_two_results_the_later_is_kept_in_whatever_order_they_arrive() -> None:
     shared = SharedHealthChecks(0.4)
     later = HealthCheckResult("w", True, "ok", 0.1, 10.0)
