--- a/tests/fleet/ownership/test_health_check_fallback.py
+++ b/tests/fleet/ownership/test_health_check_fallback.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.requested: list[str] = []
+        self.polls = 0
 
     def clock(self) -> float:
         return trio.current_time()
@@ -35,6 +36,7 @@
         self.requested.append(body.decode())
 
     def member_count(self) -> int:
+        self.polls += 1
         return 3
 
 
@@ -63,6 +65,14 @@
         nursery.cancel_scope.cancel()
 
 
+async def expect_fallback_after_silence(clock: trio.testing.MockClock, checked: list[str]) -> None:
+    """Lets the process run without delays until the wait for the owner is over."""
+    for _ in range(POLLS_BEFORE_FALLBACK):
+        clock.jump(POLL_INTERVAL)
+        await trio.testing.wait_all_tasks_blocked()
+    assert checked == ["w1"], "an owner that is silent while the process runs is not waited for"
+
+
 async def test_the_time_in_which_a_process_did_not_run_is_not_the_owners_silence(
     mock_clock: trio.testing.MockClock,
 ) -> None:
@@ -73,10 +83,22 @@
         mock_clock.jump(POLL_INTERVAL + 0.5)  # no task of the process ran for half a second
         await trio.testing.wait_all_tasks_blocked()
         assert checked == []
+        await expect_fallback_after_silence(mock_clock, checked)
+
+
+async def test_without_unanswered_requests_nothing_is_polled(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    async with running_coordinator([]) as coordinator:
+        owner = coordinator.ownership
+        assert isinstance(owner, OwnerElsewhere)
         for _ in range(POLLS_BEFORE_FALLBACK):
             mock_clock.jump(POLL_INTERVAL)
             await trio.testing.wait_all_tasks_blocked()
-        assert checked == ["w1"], "an owner that is silent while the process runs is not waited for"
+        assert owner.polls == 0
+        coordinator.request("w1")
+        await trio.testing.wait_all_tasks_blocked()
+        assert owner.polls == 1
 
 
 async def test_a_process_that_is_busy_does_not_take_its_delay_for_the_owners_silence(
@@ -93,7 +115,4 @@
                 await trio.testing.wait_all_tasks_blocked()
                 waited += BUSY_SECONDS
         assert checked == []
-        for _ in range(POLLS_BEFORE_FALLBACK):
-            mock_clock.jump(POLL_INTERVAL)
-            await trio.testing.wait_all_tasks_blocked()
-        assert checked == ["w1"], "an owner that is silent while the process runs is not waited for"
+        await expect_fallback_after_silence(mock_clock, checked)
--- a/tests/fleet/ownership/test_health_checks_after_pauses.py
+++ b/tests/fleet/ownership/test_health_checks_after_pauses.py
@@ -12,7 +12,7 @@
 from dunlinlug.decision.events import HealthCheckCompleted
 from dunlinlug.fleet.ownership.health_check_assignment import task_of
 from tests.fixtures.manager_process import until
-from tests.fleet.ownership.in_memory_members import LATENCY, running_in_memory
+from tests.fleet.ownership.in_memory_members import LATENCY, InMemoryMembers, running_in_memory
 from tests.fleet.ownership.members import CHECK_DURATION, TIMING, OwnershipMembers
 
 NAMES = "abcde"
@@ -25,6 +25,14 @@
 ONE_RESULT_EACH = Counter(dict.fromkeys(NAMES, len(WORKERS)))
 
 
+async def expect_one_check_and_result_each(members: InMemoryMembers) -> None:
+    """Waits for all results; fails on any further check or result within a lease."""
+    await until(lambda: members.results == ONE_RESULT_EACH)
+    await trio.sleep(TIMING.lease)
+    assert members.checks == ONE_CHECK_EACH
+    assert members.results == ONE_RESULT_EACH
+
+
 async def test_results_of_checks_during_which_leases_expired_reach_all_members(
     autojump_clock: trio.testing.MockClock, tmp_path: Path
 ) -> None:
@@ -35,10 +43,7 @@
         assert members.checks == ONE_CHECK_EACH
         assert not members.results
         autojump_clock.jump(PAUSE)
-        await until(lambda: members.results == ONE_RESULT_EACH)
-        await trio.sleep(TIMING.lease)
-    assert members.checks == ONE_CHECK_EACH
-    assert members.results == ONE_RESULT_EACH
+        await expect_one_check_and_result_each(members)
 
 
 async def test_a_member_that_is_not_the_owner_reports_healthy_workers_only(
@@ -60,6 +65,25 @@
         assert known.healthy, "accepted without a token"
 
 
+async def test_a_member_of_an_earlier_version_takes_results_of_owners_only(
+    autojump_clock: trio.testing.MockClock, tmp_path: Path
+) -> None:
+    """An earlier version makes the fencing check of results as of any effect."""
+    async with running_in_memory(tmp_path, "abc") as members:
+        owner = members.ownerships["a"].owner_of(task_of(WORKERS[0]))
+        other, earlier = (name for name in members.ownerships if name != owner)
+        members.ownerships[earlier].executor.unfenced_kinds.clear()
+        results = members.coordinators[earlier].shared_checks.results
+        completed = HealthCheckCompleted(WORKERS[0], True, "ok", CHECK_DURATION)
+        members.coordinators[other].check_completed(completed)
+        await trio.sleep(4 * LATENCY)
+        assert not results
+        assert members.ownerships[other].counters["refused_by_others"] == 1
+        members.coordinators[owner].check_completed(completed)
+        await trio.sleep(4 * LATENCY)
+        assert list(results) == [WORKERS[0]]
+
+
 async def test_requests_to_an_owner_whose_lease_has_expired_lead_to_one_check(
     autojump_clock: trio.testing.MockClock, tmp_path: Path
 ) -> None:
@@ -67,10 +91,7 @@
     async with running_in_memory(tmp_path, NAMES) as members:
         autojump_clock.jump(PAUSE)
         members.request_all(WORKERS)
-        await until(lambda: members.results == ONE_RESULT_EACH)
-        await trio.sleep(TIMING.lease)
-    assert members.checks == ONE_CHECK_EACH
-    assert members.results == ONE_RESULT_EACH
+        await expect_one_check_and_result_each(members)
 
 
 async def test_a_request_that_comes_after_the_check_is_answered_to_its_sender_alone(
