--- a/review/standins/discovery.py
+++ b/review/standins/discovery.py
@@ -11,7 +11,7 @@
 
 
 class Discovery:
-    """Answers a watch as soon as something newer than its version exists.
+    """Answers a watch as soon as a version newer than its own is published.
 
     `told` has, by worker, when the manager was first written that it drains or is gone.
     """
@@ -22,13 +22,25 @@
         self.generation = 1
         self.changed_at: dict[str, int] = dict.fromkeys(self.entries, 1)  # version by worker
         self.change = asyncio.Event()
+        self.pending: list[Entry] = []
         self.told: dict[str, float] = {}
         self.server = HttpServer(self._handle)
         self.server.on_sent = self._note_told
 
-    def update(self, *entries: Entry) -> None:
-        """Publish a new version in which these entries have changed."""
+    def update(self, entry: Entry) -> None:
+        """Change an entry; it is published with the next version."""
+        self.pending.append(entry)
+
+    async def publish_every(self, period: float) -> None:
+        """Publish the changes of each period as one version, until cancelled."""
+        while True:
+            await asyncio.sleep(period)
+            if self.pending:
+                self._publish()
+
+    def _publish(self) -> None:
         self.generation += 1
+        entries, self.pending = self.pending, []
         for entry in entries:
             self.entries[entry["instanceId"]] = entry
             self.changed_at[entry["instanceId"]] = self.generation
