--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -9,8 +9,11 @@
 from .channel import Channel
 from .record import Record
 
-RECONNECT_S = (0.4, 1.9)
+RECONNECT_S = (0.27, 2.3)
 DIAL_TIMEOUT_S = 0.25
+ATTEMPT_TIMEOUT_S = 1.2
+AVOIDED_AFTER = 5  # own tries in a row that failed at a worker
+AVOIDED_FOR_S = 2.9
 Line = dict[str, Any]
 
 
@@ -56,6 +59,9 @@
         self.attempts: dict[str, list[float]] = {}
         self.requests: dict[str, list[int]] = {lane: [0, 0] for lane in lanes}
         self.results: Counter[str] = Counter()
+        self.failures_in_row: Counter[str] = Counter()
+        self.avoided_until: dict[str, float] = {}
+        self.wheels: dict[str, dict[str, float]] = {lane: {} for lane in lanes}
 
     def usable(self, lane: str) -> dict[str, float]:
         """Return the lines that it may pick for a lane."""
@@ -82,7 +88,7 @@
     async def _serve_stream(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        hello = {"id": self.number, "site": self.zone, "rps": 10.0}
+        hello = {"id": self.number, "site": self.zone, "rps": 7.0}
         self._write(writer, "hello", **hello, new=not self.has_ordered_table)
         self.joined_at = self.record.write("joined", proxy=self.number)
         self.written.clear()
@@ -166,10 +172,9 @@
             if self.rng.random() >= admitted:
                 result = "refused"
                 break
-            lines = {w: x for w, x in self.usable(lane).items() if w not in tried}
-            if not lines:
+            worker = self._pick(lane, tried)
+            if not worker:
                 break
-            worker = self.rng.choices(list(lines), list(lines.values()))[0]
             tried.append(worker)
             result = await self._try(name, worker)
             if result != "never ran":
@@ -179,6 +184,20 @@
         self.results[result] += 1
         self.record.write("answered", request=name, proxy=self.number, result=result)
 
+    def _pick(self, lane: str, tried: list[str]) -> str:
+        """Pick evenly by weight, without workers tried or avoided; empty if there is none."""
+        now = self.record.clock()
+        lines = {w: x for w, x in self.usable(lane).items() if w not in tried}
+        lines = {w: x for w, x in lines.items() if self.avoided_until.get(w, 0.0) <= now} or lines
+        if not lines:
+            return ""
+        wheel = self.wheels[lane]
+        for worker, weight in lines.items():
+            wheel[worker] = wheel.get(worker, self.rng.random()) + weight
+        picked = max(lines, key=wheel.__getitem__)
+        wheel[picked] -= sum(lines.values())
+        return picked
+
     async def _try(self, name: str, worker: str) -> str:
         began = self.record.write("sent", request=name, proxy=self.number, worker=worker)
         sums = self.attempts.setdefault(worker, [0, 0, 0.0])
@@ -186,7 +205,7 @@
         result = "lost"
         writer = None
         try:
-            async with asyncio.timeout(2.0):
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
                 async with asyncio.timeout(DIAL_TIMEOUT_S):
                     reader, writer = await asyncio.open_connection(*self.workers[worker])
                 writer.write(f"POST /work?id={name} HTTP/1.1\r\n\r\n".encode())
@@ -199,8 +218,12 @@
                 writer.close()
         if result == "served":
             sums[2] += self.record.clock() - began
+            self.failures_in_row[worker] = 0
         else:
             sums[1] += 1
+            self.failures_in_row[worker] += 1
+            if self.failures_in_row[worker] % AVOIDED_AFTER == 0:
+                self.avoided_until[worker] = self.record.clock() + AVOIDED_FOR_S
         return result
 
 
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -26,6 +26,6 @@
         return json_answer({"done": query.get("id")})
 
     def stop(self) -> None:
-        """End as a process does: connections are reset and new ones refused."""
+        """End as a drained process does: what it has is finished, new connections are refused."""
         self.stopped = True
         self.server.stop()
