--- a/review/standins_2/fleet_day.py
+++ b/review/standins_2/fleet_day.py
@@ -776,12 +776,21 @@
                 writer.transport.abort()
             await asyncio.sleep(0.1)
 
+    def _end_at_once(self, *_: object) -> None:
+        """End the manager and this process, as somebody ends the case."""
+        process = self.manager.process
+        if process is not None and process.returncode is None:
+            process.kill()
+        self.temporary.cleanup()
+        os._exit(COULD_NOT_RUN)
+
     def run(self, timeline: Callable[["Day"], Awaitable[None]]) -> int:
         """Play the day; return 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
         status = RULE_HELD
+        signal.signal(signal.SIGTERM, self._end_at_once)
         try:
             asyncio.run(self._run(timeline))
-        except (CaseError, OSError, KeyError, TypeError) as error:
+        except Exception as error:  # whatever fails here says nothing of the manager
             print(f"could not run: {error!r}", file=sys.stderr)
             status = COULD_NOT_RUN
         finally:
