--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,7 +2,7 @@
 
 One manager, eight workers and 48 proxies in four zones, two workers to a zone. The class `read`
 keeps to the proxy's zone, the class `book` does not. One of the eight workers takes requests and
-answers none for six seconds. Meanwhile the manager, which has shut it out, is killed and started
+answers none for seven seconds. Meanwhile the manager, which has shut it out, is killed and started
 again. Ten seconds after the worker is well, the other worker of its zone drains.
 """
 
@@ -59,7 +59,7 @@
     trouble = fleet_day.trouble_wanted()
     await asyncio.sleep(8.0)
     day.workers[SILENT].silent = trouble
-    await asyncio.sleep(4.2)
+    await asyncio.sleep(5.0)
     if trouble:
         await day.manager.kill()
     await asyncio.sleep(1.0)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
 
 PROXIES = 4
 QUIET_S = 8.0
-WATCHED_S = 25.0
+WATCHED_S = 20.0
 PROBES = """
 [probes]
 allowed = yes
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,10 +29,12 @@
     lanes=[fleet_day.lane("estimate", 1200, 4000, 3.0), fleet_day.lane("refresh", 1500, 5000, 2.0)],
     specifics={
         "egressPerS": 2300.0,
+        "ejects": 8,
         "emptyForUs": 4700000,
         "hearsPerS": 120.0,
         "lateMostUs": 620000,
         "messagesMost": 30,
+        "perTry": 1.0,
         "pendingMax": 4600.0,
         "perMessage": 10.0,
         "transitUs": 250000,
--- a/review/standins_2/fleet_day.py
+++ b/review/standins_2/fleet_day.py
@@ -37,6 +37,9 @@
 # The stand-ins judge every 0.05 s; a day on which they ran later than this says nothing.
 MAX_LATENESS_S = 0.5
 MAX_LINE_BYTES = 2**20
+GIVEN_UP_AFTER_S = 1.0  # a try; the sites have 40 to 100% of the expiry
+AVOIDED_FOR_S = 4.0  # a worker, after as many failures in a row as the settings say
+LEAST_LOCAL_WORKERS = 3  # from which a standing table is drawn in the proxy's zone
 
 
 class CaseError(Exception):
@@ -81,7 +84,6 @@
         self.lifecycle = "ready"
         self.started_at_ms = started_at_ms
         self.silent = False  # takes requests and answers none
-        self.fail_rate = 0.0
 
     def entry(self, address: str) -> JsonObject:
         """Return its entry in discovery's form."""
@@ -290,6 +292,10 @@
         self.message_times: deque[float] = deque()
         self.bare_since: dict[str, float] = {}
         self.counts: dict[ReportKey, list[int]] = {}
+        usual = day.settings["specifics"]["usualHow"]
+        self.policies: dict[str, int] = dict.fromkeys(day.class_names, usual)
+        self.failures_in_row: dict[str, int] = {}
+        self.avoided: dict[str, float] = {}
         self.redial_after = 0.0
         self.stopped = False
         self.most_messages = 0
@@ -399,6 +405,7 @@
                 if update.get("full"):
                     self.tables[name] = {}
                     self.levels[name] = 1.0
+                    self.policies[name] = self.day.settings["specifics"]["usualHow"]
                 for worker, weight in update.get("endpoints") or ():
                     if weight:
                         self.tables[name][worker] = weight
@@ -406,6 +413,7 @@
                         self.tables[name].pop(worker, None)
                 if "admit" in update:
                     self.levels[name] = update["admit"]
+                    self.policies[name] = update["policy"]
             self.ejected |= set(update.get("eject") or ())
             self.ejected -= set(update.get("restore") or ())
             if "nonce_out" in update:
@@ -430,22 +438,44 @@
     def send_request(self) -> None:
         """Send one request by the tables, and judge where it went."""
         class_name = self.rng.choices(self.day.class_names, self.day.class_shares)[0]
-        self._count((self.number, class_name), failed=False)
-        if self.rng.random() >= self.levels[class_name]:
-            return
-        lines = self.usable(class_name)
+        self._count((self.number, class_name), 1)
+        if self.rng.random() < self.levels[class_name]:
+            self._try(class_name, ())
+
+    def _try(self, class_name: str, tried: tuple[str, ...]) -> None:
+        """Try a worker; a try that was refused is followed by one at another worker if ordered."""
+        now = self.day.record.now()
+        lines = {w: x for w, x in self.usable(class_name).items() if w not in tried}
+        lines = {w: x for w, x in lines.items() if self.avoided.get(w, 0.0) <= now} or lines
         if not lines:
+            self._count((self.number, class_name), 0, 1)
             return
         worker = self.rng.choices(list(lines), list(lines.values()))[0]
-        failed = self.day.worker_fails(worker, self.rng)
-        self._count(worker, failed=failed)
-        self.day.record.write("sent", f"proxy={self.number} {class_name} {worker} failed={failed}")
+        outcome, after = self.day.outcome(worker)
+        self.day.record.write("sent", f"proxy={self.number} {class_name} {worker} {outcome}")
         self.day.judge_send(self, worker)
+        asyncio.get_running_loop().call_later(
+            after, self._note_outcome, class_name, worker, outcome == "answered"
+        )
+        if outcome == "refused" and self.policies[class_name] and not tried:
+            self._try(class_name, (worker,))
+
+    def _note_outcome(self, class_name: str, worker: str, answered: bool) -> None:
+        """Count a try that has ended, and keep away from a worker that failed too often."""
+        self._count(worker, 1, not answered)
+        if answered:
+            self.failures_in_row[worker] = 0
+            return
+        self._count((self.number, class_name), 0, 1)
+        self.failures_in_row[worker] = self.failures_in_row.get(worker, 0) + 1
+        limit = self.day.settings["specifics"]["ejects"]
+        if limit and self.failures_in_row[worker] % limit == 0:
+            self.avoided[worker] = self.day.record.now() + AVOIDED_FOR_S
 
-    def _count(self, key: ReportKey, *, failed: bool) -> None:
-        count = self.counts.setdefault(key, [0, 0])
-        count[0] += 1
-        count[1] += failed
+    def _count(self, key: ReportKey, count: int, failed: int = 0) -> None:
+        entry = self.counts.setdefault(key, [0, 0])
+        entry[0] += count
+        entry[1] += failed
 
     def hand_over_counts(self, sums: dict[ReportKey, list[float]], now: float) -> None:
         """Add what it counted to its zone's sums."""
@@ -629,10 +659,15 @@
         self.has_ended = False
 
     def add_proxies(self, count: int, zones: list[str], rate: float) -> None:
-        """Add proxies that begin with a standing table of up to six workers of their zone."""
+        """Add proxies that begin with a standing table, as the wire's page says.
+
+        It is drawn in the proxy's zone if three workers are there, else from the whole list.
+        """
         for number in range(count):
             proxy = Proxy(self, number, zones[number % len(zones)], rate)
             local = [worker.name for worker in self.workers.values() if worker.zone == proxy.zone]
+            if len(local) < LEAST_LOCAL_WORKERS:
+                local = list(self.workers)
             most = self.settings["specifics"]["initialSet"]
             proxy.start_with(proxy.rng.sample(local, min(most, len(local))))
             self.proxies.append(proxy)
@@ -658,10 +693,14 @@
         """Return the workers that the manager has as ready and no longer cold."""
         return self.discovery.warm_ready(self.settings["rules"]["coldUs"] / 1e6)
 
-    def worker_fails(self, name: str, rng: random.Random) -> bool:
-        """Whether a worker fails a request that it gets now."""
+    def outcome(self, name: str) -> tuple[str, float]:
+        """Return how a worker takes a try that is sent now, and after how many seconds it ends."""
         worker = self.workers[name]
-        return worker.silent or rng.random() < worker.fail_rate or worker.lifecycle == "gone"
+        if worker.lifecycle == "gone":
+            return "refused", 0.0
+        if worker.silent:
+            return "given up", GIVEN_UP_AFTER_S
+        return "answered", self.latency_ms / 1000.0
 
     def judge_send(self, proxy: Proxy, worker: str) -> None:
         """Judge one send of a proxy by the rule on drains."""
--- a/review/standins_2/xds_managers.py
+++ b/review/standins_2/xds_managers.py
@@ -27,6 +27,7 @@
 HOST = "127.0.0.1"
 PRODUCT = "ticket-read"
 ATTEMPT_INTERVAL_S = 0.05
+GIVEN_UP_AFTER_S = 1.0  # a request; its deadline is 2 s
 SETTINGS = """
 [manager]
 listen = 127.0.0.1:{listen}
@@ -189,11 +190,15 @@
                 workers = sorted(self.usable())
                 if not workers:
                     continue
-                worker = self.rng.choice(workers)
-                answered = self.succeeds(worker)
-                latency = self.rng.uniform(0.08, 0.12)
-                self.accumulator.record_attempt(worker, answered, latency, {})
-                self.accumulator.record_request(PRODUCT, not answered)
+                nursery.start_soon(self._request, self.rng.choice(workers))
+
+    async def _request(self, worker: str) -> None:
+        """Count one request as it ends: answered, or given up."""
+        answered = self.succeeds(worker)
+        latency = self.rng.uniform(0.08, 0.12) if answered else GIVEN_UP_AFTER_S
+        await trio.sleep(latency)
+        self.accumulator.record_attempt(worker, answered, latency, {})
+        self.accumulator.record_request(PRODUCT, not answered)
 
 
 async def wait_until(condition: Callable[[], bool], seconds: float, what: str) -> None:
