Health checks: a load report is decoded into bounded types

Cause: `parse_json_report` converted whatever JSON had arrived with `float`, and the check caught three kinds of error of the many that this can raise. The bounds were checked afterwards, on values that did not exist yet. The check is a task of the manager's own nursery.

Change: `bounded_values` has the types with bounds that `platform/messages.py` had for itself, and a decoder that raises one error whatever the bytes. Load reports of both forms are decoded into `LoadMetrics`: names of 1 to 128 characters, at most 64 metrics of 0 to 1e15 each. A report that is none counts as before: the worker has answered, without a report. A number in quotes or a truth value was taken for a number and no longer is (docs/protocol.md: "A JSON object of numbers").

--- /dev/null
+++ b/dunlinlug/bounded_values.py
@@ -0,0 +1,78 @@
+"""Types for values that other processes send, with their bounds, and a JSON decoder that uses them.
+
+A value outside its bounds fails the decoding of the message that holds it. Arithmetic on values
+within the bounds neither overflows nor produces a NaN.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Annotated, Any, Generic, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from dunlinlug.errors import DunlinlugError
+
+MAX_METRICS = 64  # metrics in one load report
+
+Name = Annotated[str, Meta(min_length=1, max_length=128)]
+Host = Annotated[str, Meta(min_length=1, max_length=255)]  # a DNS name or an address
+Port = Annotated[int, Meta(ge=0, lt=2**16)]
+Uint16 = Annotated[int, Meta(ge=0, lt=2**16)]
+Count = Annotated[int, Meta(ge=0, le=10**7)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
+# The limit of ten minutes exceeds every duration that peers measure.
+Milliseconds = Annotated[float, Meta(ge=0.0, le=600_000.0)]
+UnixSeconds = Annotated[float, Meta(ge=0.0, le=1e11)]
+Fraction = Annotated[float, Meta(ge=0.0, le=1.0)]
+# A metric may be a number of bytes.
+MetricValue = Annotated[float, Meta(ge=0.0, le=1e15)]
+LoadMetrics = Annotated[dict[Name, MetricValue], Meta(max_length=MAX_METRICS)]
+
+Value = TypeVar("Value")
+
+
+class OutOfBoundsError(DunlinlugError, ValueError):
+    """A received value of another type than expected or outside its bounds, or not JSON at all."""
+
+
+class JsonDecoder(Generic[Value]):
+    """Decodes JSON bytes to a bounded type."""
+
+    def __init__(self, value_type: Any) -> None:
+        self._decoder = msgspec.json.Decoder(value_type)
+
+    def decode(self, data: bytes) -> Value:
+        """Return the value. Raises OutOfBoundsError, whatever the bytes."""
+        try:
+            value: Value = self._decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise OutOfBoundsError(str(error)) from None
+        return value
+
+
+def require_bounds(value: object, value_type: Any) -> Any:
+    """Convert a value that was decoded by other means to a bounded type.
+
+    Raises:
+        OutOfBoundsError: The value is not of the type, or a part of it is outside its bounds.
+    """
+    try:
+        return msgspec.convert(value, value_type)
+    except msgspec.ValidationError as error:
+        raise OutOfBoundsError(str(error)) from None
+
+
+def parse_json(
+    data: bytes | str,
+    object_pairs_hook: Callable[[list[tuple[str, Any]]], Any] | None = None,
+) -> Any:
+    """Return the plain values of a JSON text, of any type and size.
+
+    Raises:
+        OutOfBoundsError: Not JSON, nested too deeply, or a number with too many digits.
+    """
+    try:
+        return json.loads(data, object_pairs_hook=object_pairs_hook)
+    except (ValueError, RecursionError) as error:
+        raise OutOfBoundsError(str(error)) from None
--- a/dunlinlug/manager/health_checks.py
+++ b/dunlinlug/manager/health_checks.py
@@ -1,13 +1,17 @@
 """Active health checks over HTTP with limited concurrency; each result is submitted as an event."""
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
-from math import inf
 
 import trio
 
+from dunlinlug.bounded_values import (
+    JsonDecoder,
+    LoadMetrics,
+    OutOfBoundsError,
+    require_bounds,
+)
 from dunlinlug.decision.events import Event, HealthCheckCompleted
 from dunlinlug.net import http
 
@@ -15,6 +19,8 @@
 # filling the memory.
 MAX_REPORT_BYTES = 2**16
 
+_report_decoder = JsonDecoder[dict[str, float]](LoadMetrics)
+
 
 class HealthCheckResult(StrEnum):
     """The result of a health check; the values are those in `HealthCheckCompleted`."""
@@ -42,16 +48,16 @@
 def parse_json_report(body: bytes) -> dict[str, float]:
     """Return a load report's metrics by name.
 
-    Raises ValueError, TypeError or AttributeError if the body is not a JSON object of numbers.
+    Raises OutOfBoundsError if the body is not a JSON object of metrics within their bounds.
     """
-    return {str(metric): float(value) for metric, value in json.loads(body or b"{}").items()}
+    return _report_decoder.decode(body or b"{}")
 
 
 class HealthChecker:
     """Checks workers and submits a `HealthCheckCompleted` for each check.
 
     `timeout` is in seconds. `resolve_address` returns a worker's address or raises KeyError;
-    `parse_report` returns the load report in an answer's body.
+    `parse_report` returns the load report in an answer's body, or raises OutOfBoundsError.
     """
 
     def __init__(  # noqa: PLR0913, PLR0917 - one argument for each collaborator
@@ -115,9 +121,7 @@
     def _read_load(self, body: bytes) -> dict[str, float]:
         """Return the load report's metrics; none if the report is invalid."""
         try:
-            load = self.parse_report(body)
-        except (ValueError, AttributeError, TypeError):
-            return {}
-        if not all(0.0 <= value < inf for value in load.values()):
+            load: dict[str, float] = require_bounds(self.parse_report(body), LoadMetrics)
+        except OutOfBoundsError:
             return {}
         return load
--- a/dunlinlug/platform/discovery_state.py
+++ b/dunlinlug/platform/discovery_state.py
@@ -10,9 +10,9 @@
 import msgspec
 from msgspec import Meta
 
+from dunlinlug.bounded_values import Name
 from dunlinlug.decision.events import Endpoint, EndpointState, EndpointsUpdated, UpdateType
 from dunlinlug.errors import DunlinlugError
-from dunlinlug.platform.messages import Name
 
 # Seconds for which a watch may wait. The platform counts a change as delivered 2 s after the watch
 # for it ends, or after 6 s without a watch. With a wait of 2 s, a silent connection is closed and
@@ -64,9 +64,9 @@
     zone: Name
     lifecycle: Literal["ready", "draining", "gone"]
     machine_type: str = ""
-    cell: int = 0
+    cell: Annotated[int, Meta(ge=-(2**53), le=2**53)] = 0
     weight: Annotated[float, Meta(ge=0.0, le=1e9)] | None = None
-    started_at_ms: Annotated[float, Meta(ge=0.0)] = 0.0
+    started_at_ms: Annotated[float, Meta(ge=0.0, le=1e14)] = 0.0
 
     def to_endpoint(self) -> Endpoint:
         """Return the decision module's record of it, with its start in Unix seconds."""
@@ -88,7 +88,7 @@
 class DiscoveryResponse(msgspec.Struct, frozen=True):
     """One response: the list's version, and all entries (`reset`) or only those that changed."""
 
-    generation: Annotated[int, Meta(ge=0)]
+    generation: Annotated[int, Meta(ge=0, le=2**63 - 1)]
     reset: bool
     instances: list[Instance]
 
--- a/dunlinlug/platform/load_metrics.py
+++ b/dunlinlug/platform/load_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from dunlinlug.bounded_values import LoadMetrics, OutOfBoundsError, require_bounds
 from dunlinlug.config.settings_json import LOAD_FIELD_NAMES, MILLISECOND_FIELDS
 
 # Maps the platform's metric names to the module's; other names stay the same.
@@ -28,15 +29,17 @@
 def parse_text_report(body: bytes) -> dict[str, float]:
     """Return the metrics in a health check's load report in TEXT format, by the module's names.
 
-    Raises ValueError if the body is not such a report.
+    Raises OutOfBoundsError if the body is not such a report.
     """
-    text = body.decode("ascii", "strict").strip()
-    format_name, _, metric_list = text.partition(" ")
-    if format_name != "TEXT":
-        raise ValueError("no report")
-    load = {}
-    for metric_text in metric_list.split(","):
-        wire_name, _, value = metric_text.strip().partition("=")
-        name = METRIC_NAMES.get(wire_name, wire_name)
-        load[name] = float(value) / (1000.0 if name in MILLISECOND_FIELDS else 1.0)
-    return load
+    try:
+        text = body.decode("ascii", "strict").strip()
+        format_name, _, metric_list = text.partition(" ")
+        if format_name != "TEXT":
+            raise OutOfBoundsError("no report")
+        load = {}
+        for metric_text in metric_list.split(","):
+            wire_name, _, value = metric_text.strip().partition("=")
+            load[wire_name] = float(value)
+    except ValueError as error:
+        raise OutOfBoundsError(str(error)) from None
+    return convert_metrics(require_bounds(load, LoadMetrics))
--- a/dunlinlug/platform/messages.py
+++ b/dunlinlug/platform/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Meta
 
+from dunlinlug.bounded_values import MAX_METRICS, Amount, Count, Milliseconds, Name, Uint16
 from dunlinlug.errors import DunlinlugError
 
 # Limit for peers that have not joined; a hello takes a tenth of it.
@@ -18,13 +19,6 @@
 # Opening brackets in one message; a report has two.
 MAX_NESTING = 16
 
-Name = Annotated[str, Meta(min_length=1, max_length=128)]
-Count = Annotated[int, Meta(ge=0, le=10**7)]
-Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
-# The limit of ten minutes exceeds every duration that peers measure.
-Milliseconds = Annotated[float, Meta(ge=0.0, le=600_000.0)]
-Uint16 = Annotated[int, Meta(ge=0, lt=2**16)]
-
 
 class MalformedMessageError(DunlinlugError):
     """Bytes that are not a message; no later bytes of the connection can be read either."""
@@ -103,7 +97,7 @@
     failed: Count
     mean_latency_ms: Milliseconds
     window_ms: Milliseconds
-    load_metrics: dict[Name, Amount] | None = None
+    load_metrics: Annotated[dict[Name, Amount], Meta(max_length=MAX_METRICS)] | None = None
 
 
 class DemandReport(
