Service discovery's answers within bounds, or rejected whole

What was seen: one answer with the port 1e999, a cell of Infinity or 5,000 brackets ended an xDS manager, and each member reads the same list. A weight of NaN, a negative one, a start of NaN or a zone that is an object were accepted and went into the decision module.

Cause: an entry was converted by `int` and `float` under an `except` that does not name OverflowError, `json.loads` under one that does not name RecursionError, and nothing checked the converted values. An index of digits of any script and any length was taken into the next query.

The index is a number of at most 64 bits.

--- a/dunlinlug/discovery/blocking_query.py
+++ b/dunlinlug/discovery/blocking_query.py
@@ -13,6 +13,7 @@
 # not block.
 MIN_QUERY_INTERVAL = 0.05
 INDEX_HEADER = "x-consul-index"
+MAX_INDEX_DIGITS = 20  # of an unsigned number of 64 bits
 
 
 class BlockingQuery:
@@ -46,12 +47,12 @@
         """Record a response's index; returns whether the response may differ from the last one.
 
         Raises:
-            ValueError: The index is not an integer above 0, so that it cannot be used for a
-                blocking query.
+            ValueError: The index is not an integer above 0 of at most 64 bits, so that it cannot be
+                used for a blocking query.
         """
-        if index is None or not index.isdigit() or not int(index):
+        if not _is_index(index):
             raise ValueError(f"the index is {index!r}, not a whole number above 0")
-        number = int(index)
+        number = int(index or 0)
         previous = self.index
         self.failure_count = 0
         # A lower index means that the server's state was restored from a snapshot; a query with the
@@ -64,3 +65,10 @@
         self.failure_count += 1
         max_delay = min(INITIAL_BACKOFF * 2.0 ** (self.failure_count - 1), MAX_BACKOFF)
         return self.random_uniform(max_delay / 2, max_delay)
+
+
+def _is_index(text: str | None) -> bool:
+    """Whether a header's value is a whole number above 0 that fits in 64 bits."""
+    if text is None or not text.isascii() or not text.isdigit() or len(text) > MAX_INDEX_DIGITS:
+        return False
+    return int(text) > 0
--- a/tests/race_conditions/test_out_of_range_values.py
+++ b/tests/race_conditions/test_out_of_range_values.py
@@ -3,16 +3,22 @@
 Each guards against a manager that ends, or that decides by a NaN, after one value of a peer.
 """
 
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
 
-from dunlinlug.decision.events import Event, HealthCheckCompleted
+from dunlinlug.decision.events import Endpoint, Event, HealthCheckCompleted
+from dunlinlug.discovery import entries
+from dunlinlug.discovery.blocking_query import BlockingQuery
 from dunlinlug.manager.health_checks import HealthChecker, parse_json_report
 from dunlinlug.net import http
 from dunlinlug.platform.load_metrics import parse_text_report
+from tests.fixtures.manager_process import running, until
 
 DIGITS = b"9" * 400
 NESTED = b"[" * 5000 + b"]" * 5000
@@ -60,3 +66,82 @@
     assert [
         (event.healthy, event.load) for event in events if isinstance(event, HealthCheckCompleted)
     ] == [(True, {})]
+
+
+def listed_entry(**service: Any) -> dict[str, Any]:
+    """An entry of service discovery's answer with these fields of its service replaced."""
+    return {
+        "Node": {"Datacenter": "north"},
+        "Service": {"Address": "127.0.0.1", "Port": 7001, **service},
+        "Checks": [],
+    }
+
+
+def answer_with(replacement: bytes, **service: Any) -> bytes:
+    """An answer whose value "?" is replaced by these bytes."""
+    return json.dumps([listed_entry(**service)]).encode().replace(b'"?"', replacement)
+
+
+DISCOVERY_ANSWERS = [
+    *(answer_with(number, Port="?") for number in NUMBERS if number != b'"1"'),
+    answer_with(b"65536", Port="?"),
+    *(answer_with(number, Weights={"Passing": "?"}) for number in NUMBERS if number != b'"1"'),
+    *(
+        answer_with(b'"' + number + b'"', Meta={"started": "?"})
+        for number in NUMBERS
+        if number not in (b'"1"', b"true")
+    ),
+    *(answer_with(number, Meta={"started": "?"}) for number in (b"NaN", b"1e999", DIGITS, b"[]")),
+    *(answer_with(number, Meta={"cell": "?"}) for number in (b"1e999", DIGITS, b"[7]")),
+    *(answer_with(number, Address="?") for number in (b'{"a": 1}', b"[]", b'""', b"null", NESTED)),
+    *(answer_with(number, Meta={"zone": "?"}) for number in (b'{"a": 1}', b"[7]", b"7")),
+    *(answer_with(number, Meta={"kind": "?"}) for number in (b'{"a": 1}', b"[7]", b"7")),
+    json.dumps([{**listed_entry(), "Checks": [{"Status": 7}]}]).encode(),
+    NESTED,
+]
+
+
+@pytest.mark.parametrize(
+    "body", DISCOVERY_ANSWERS, ids=[f"answer {n}" for n in range(len(DISCOVERY_ANSWERS))]
+)
+def test_a_discovery_answer_with_a_value_out_of_range_is_rejected_whole(body: bytes) -> None:
+    # Such answers ended every manager that watches the list, or put a NaN into its tables.
+    with pytest.raises(entries.DiscoveryResponseError):
+        entries.decode_workers(body, 0.0)
+
+
+@pytest.mark.parametrize("index", ["9" * 21, "9" * 5000, "²", "٣", "1.5", "-1", "0", ""])
+def test_an_index_of_discovery_that_is_no_64_bit_number_is_rejected(index: str) -> None:
+    query = BlockingQuery("nodes", 2.0, lambda low, _high: low)
+    with pytest.raises(ValueError, match="not a whole number above 0"):
+        query.record_index(index)
+
+
+async def test_a_manager_keeps_its_list_while_discovery_answers_with_values_out_of_range(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Each of these answers ended the manager, and with it every other member.
+    body = b""
+
+    def unsound_or_valid_list(workers: list[Endpoint]) -> bytes:
+        return body or encode_workers(workers)
+
+    encode_workers = entries.encode_workers
+    monkeypatch.setattr(entries, "encode_workers", unsound_or_valid_list)
+    async with running(tmp_path) as run:
+        await until(lambda: bool(run.manager.components.installer.zones))
+        for n, unsound in enumerate(
+            [
+                answer_with(b"1e999", Port="?"),
+                answer_with(b"NaN", Weights={"Passing": "?"}),
+                answer_with(b'"NaN"', Meta={"started": "?"}),
+                answer_with(b'{"a": 1}', Meta={"zone": "?"}),
+                NESTED,
+            ]
+        ):
+            body = unsound
+            run.roster.update()
+            await until(lambda: len(run.logged("discovery.failed")) == n + 1)  # noqa: B023
+            assert len(run.manager.components.installer.zones) == 6
+            body = b""
+            await until(lambda: len(run.logged("discovery.recovered")) == n + 1)  # noqa: B023
