Discovery's backoff no longer overflows after 1,024 failures in a row

The 1,025th failure in a row, after about two hours of silence at 5 to 10 s each, raises OverflowError in the watcher's task, and the manager ends. Of a long outage of discovery the fleet's managers would die one after the other.

Change: the exponent has a bound, as on the platform's front.

--- a/dunlinlug/discovery/blocking_query.py
+++ b/dunlinlug/discovery/blocking_query.py
@@ -9,6 +9,7 @@
 # the range is that of Consul's clients.
 INITIAL_BACKOFF = 0.25
 MAX_BACKOFF = 10.0
+MAX_DOUBLINGS = 10  # of the backoff; a power of 2 above 1,023 is no float
 # Minimum seconds from a response to the next query, to limit the query rate at a server that does
 # not block.
 MIN_QUERY_INTERVAL = 0.05
@@ -63,7 +64,8 @@
     def next_backoff(self) -> float:
         """Return the seconds until the next query, with jitter to spread the clients' retries."""
         self.failure_count += 1
-        max_delay = min(INITIAL_BACKOFF * 2.0 ** (self.failure_count - 1), MAX_BACKOFF)
+        doublings = min(self.failure_count - 1, MAX_DOUBLINGS)
+        max_delay = min(INITIAL_BACKOFF * 2.0**doublings, MAX_BACKOFF)
         return self.random_uniform(max_delay / 2, max_delay)
 
 
--- a/tests/race_conditions/test_out_of_range_values.py
+++ b/tests/race_conditions/test_out_of_range_values.py
@@ -14,7 +14,7 @@
 
 from dunlinlug.decision.events import Endpoint, Event, HealthCheckCompleted
 from dunlinlug.discovery import entries
-from dunlinlug.discovery.blocking_query import BlockingQuery
+from dunlinlug.discovery.blocking_query import MAX_BACKOFF, BlockingQuery
 from dunlinlug.manager.health_checks import HealthChecker, parse_json_report
 from dunlinlug.net import http
 from dunlinlug.platform.load_metrics import parse_text_report
@@ -117,6 +117,12 @@
         query.record_index(index)
 
 
+def test_the_backoff_stays_at_its_maximum_however_often_discovery_has_failed() -> None:
+    # The 1,025th failure in a row, after some three hours, ended the manager with OverflowError.
+    query = BlockingQuery("nodes", 2.0, lambda _low, high: high)
+    assert [query.next_backoff() for _ in range(3000)][-1] == MAX_BACKOFF
+
+
 async def test_a_manager_keeps_its_list_while_discovery_answers_with_values_out_of_range(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
