xDS front: load reports and nodes within bounds, or their stream ends and no other

On the same path: a negative or infinite latency, counts of 2^63; a node whose request rate is NaN, or whose term is 1e300, which the leader adopts and no proxy can read in an identifier afterwards, as it has 15 digits; a rejection with a term of 15 digits, whose successor has 16. A stream kept names of any length, and an error repeated them.

Cause: a protobuf field has a type and no bounds, and what was decoded went on unchecked.

Change: a report is converted to its bounded types (`LoadReport`, `WorkerStatistics`), the node of a first request to `ProxyNode`; what is out of bounds ends the stream with INVALID_ARGUMENT. A reported term is believed up to 10^12. Resource names and versions have 512 characters. The client library leaves a worker's metrics out of the report if they are out of bounds, since the worker sent them and the proxy's stream would end for it.

--- a/dunlinlug/ads/service.py
+++ b/dunlinlug/ads/service.py
@@ -108,9 +108,8 @@
             StreamProtocolError: The maximum number of nodes is reached.
         """
         require_identity(stream.node_id, identity)
-        seen_term = stream.metadata.get("term", 0)
-        if isinstance(seen_term, int | float) and seen_term > self.term:
-            self._notify_higher_term(int(seen_term))
+        if stream.reported_term > self.term:
+            self._notify_higher_term(stream.reported_term)
         self._assign_number(stream.node_id)
 
     def _notify_higher_term(self, term: int) -> None:
@@ -176,14 +175,11 @@
             held_tables,
             stream.is_state_of_the_world,
         )
-        request_rate = stream.metadata.get("txns_per_s", 0.0)
-        if not isinstance(request_rate, int | float):
-            request_rate = 0.0
         self.loop.submit(
             ProxyConnected(
                 session.proxy,
                 stream.zone,
-                float(request_rate),
+                stream.request_rate,
                 not held_tables,
             )
         )
--- a/dunlinlug/ads/split_streams.py
+++ b/dunlinlug/ads/split_streams.py
@@ -105,6 +105,7 @@
         shared_stream.node_id = first_stream.node_id
         shared_stream.zone = first_stream.zone
         shared_stream.metadata = first_stream.metadata
+        shared_stream.request_rate = first_stream.request_rate
         shared_stream.control_plane_id = self.host.control_plane_id
         return shared_stream
 
--- a/dunlinlug/bounded_values.py
+++ b/dunlinlug/bounded_values.py
@@ -5,7 +5,8 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import Annotated, Any, Generic, TypeVar
 
 import msgspec
@@ -14,8 +15,10 @@
 from dunlinlug.errors import DunlinlugError
 
 MAX_METRICS = 64  # metrics in one load report
+MAX_NAME_LENGTH = 128
+MAX_METRIC = 1e15  # a metric may be a number of bytes
 
-Name = Annotated[str, Meta(min_length=1, max_length=128)]
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 Host = Annotated[str, Meta(min_length=1, max_length=255)]  # a DNS name or an address
 Port = Annotated[int, Meta(ge=0, lt=2**16)]
 Uint16 = Annotated[int, Meta(ge=0, lt=2**16)]
@@ -24,9 +27,13 @@
 # The limit of ten minutes exceeds every duration that peers measure.
 Milliseconds = Annotated[float, Meta(ge=0.0, le=600_000.0)]
 UnixSeconds = Annotated[float, Meta(ge=0.0, le=1e11)]
-Fraction = Annotated[float, Meta(ge=0.0, le=1.0)]
-# A metric may be a number of bytes.
-MetricValue = Annotated[float, Meta(ge=0.0, le=1e15)]
+Seconds = Annotated[float, Meta(ge=0.0, le=1e9)]
+# Of a proxy that had no manager for days.
+ReportedCount = Annotated[int, Meta(ge=0, le=10**12)]
+ReportedSeconds = Annotated[float, Meta(ge=0.0, le=1e15)]  # summed over that many attempts
+MetricValue = Annotated[float, Meta(ge=0.0, le=MAX_METRIC)]
+# A node or a resource of xDS; longer than any name of a certificate.
+XdsName = Annotated[str, Meta(max_length=512)]
 LoadMetrics = Annotated[dict[Name, MetricValue], Meta(max_length=MAX_METRICS)]
 
 Value = TypeVar("Value")
@@ -76,3 +83,13 @@
         return json.loads(data, object_pairs_hook=object_pairs_hook)
     except (ValueError, RecursionError) as error:
         raise OutOfBoundsError(str(error)) from None
+
+
+def metrics_within_bounds(metrics: Mapping[str, float]) -> dict[str, float]:
+    """Return the metrics that are within the bounds of `LoadMetrics`, as many as it may have."""
+    valid = (
+        (name, value)
+        for name, value in metrics.items()
+        if 0 < len(name) <= MAX_NAME_LENGTH and 0.0 <= value <= MAX_METRIC
+    )
+    return dict(islice(valid, MAX_METRICS))
--- a/dunlinlug/client/report_accumulator.py
+++ b/dunlinlug/client/report_accumulator.py
@@ -1,5 +1,6 @@
 """Accumulates a proxy's observations since its last load report."""
 
+from dunlinlug.bounded_values import metrics_within_bounds
 from dunlinlug.xds.load_reports import LoadReport, WorkerStatistics
 
 
@@ -23,13 +24,14 @@
         """Count an attempt at a worker; its latency (seconds) counts only if it succeeded.
 
         `load_metrics` is the worker's own load from its response; the newest value of each metric
-        is reported.
+        is reported. Metrics out of bounds are ignored: the manager would end the proxy's stream for
+        them, though a worker sent them.
         """
         statistics = self.report.workers.setdefault(worker, WorkerStatistics())
         statistics.attempts += 1
         statistics.failed += not succeeded
         statistics.total_latency += latency if succeeded else 0.0
-        statistics.load_metrics.update(load_metrics)
+        statistics.load_metrics = metrics_within_bounds({**statistics.load_metrics, **load_metrics})
 
     def take_report(self, now: float) -> LoadReport:
         """Return the report since the last call, and start a new one."""
--- a/dunlinlug/xds/fencing_term.py
+++ b/dunlinlug/xds/fencing_term.py
@@ -5,6 +5,9 @@
 
 import re
 
+# Highest term that is believed of a proxy; above it, the terms of later elections could have more
+# digits than an identifier.
+MAX_REPORTED_TERM = 10**12
 IDENTIFIER_PATTERN = re.compile(r"term (\d{1,15}) of ([\w.:-]{1,64})")
 
 
@@ -46,6 +49,6 @@
 def superseding_term(reason: str) -> int:
     """Return the newer term from a rejection reason; 0 if it was rejected for something else."""
     match = re.fullmatch(r"term \d+ of .+ is over; term (\d{1,15}) has been seen", reason)
-    if match is None:
+    if match is None or int(match[1]) > MAX_REPORTED_TERM:
         return 0
     return int(match[1])
--- a/dunlinlug/xds/load_reports.py
+++ b/dunlinlug/xds/load_reports.py
@@ -1,15 +1,30 @@
 """Encodes and decodes load reports (LRS), which contain the attempts observed by a proxy."""
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
+import msgspec
 from envoy.config.endpoint.v3 import load_report_pb2
 from envoy.service.load_stats.v3 import lrs_pb2
 from google.protobuf.message import DecodeError
-
+from msgspec import Meta
+
+from dunlinlug.bounded_values import (
+    LoadMetrics,
+    OutOfBoundsError,
+    ReportedCount,
+    ReportedSeconds,
+    Seconds,
+    XdsName,
+    require_bounds,
+)
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.xds import names
 
 MIN_REPORT_INTERVAL = 0.05  # seconds; used in place of a shorter requested interval
+MAX_REPORT_INTERVAL = 60.0  # seconds; used in place of a longer one
+MAX_REPORTED_WORKERS = 10_000  # workers in one report
+MAX_REPORTED_CLASSES = 1_000  # traffic classes in one report
 
 
 class LoadReportError(DunlinlugError):
@@ -28,11 +43,11 @@
         untimed_successes: Number of successful attempts of clients that report no latency.
     """
 
-    attempts: int = 0
-    failed: int = 0
-    total_latency: float = 0.0
-    load_metrics: dict[str, float] = field(default_factory=dict)
-    untimed_successes: int = 0
+    attempts: ReportedCount = 0
+    failed: ReportedCount = 0
+    total_latency: ReportedSeconds = 0.0
+    load_metrics: LoadMetrics = field(default_factory=dict)
+    untimed_successes: ReportedCount = 0
 
 
 @dataclass
@@ -47,11 +62,15 @@
         traffic_classes: Number of requests and of failed requests, by traffic class.
     """
 
-    node_id: str
-    zone: str
-    window: float
-    workers: dict[str, WorkerStatistics] = field(default_factory=dict)
-    traffic_classes: dict[str, tuple[int, int]] = field(default_factory=dict)
+    node_id: XdsName
+    zone: XdsName
+    window: Seconds
+    workers: Annotated[dict[XdsName, WorkerStatistics], Meta(max_length=MAX_REPORTED_WORKERS)] = (
+        field(default_factory=dict)
+    )
+    traffic_classes: Annotated[
+        dict[XdsName, tuple[ReportedCount, ReportedCount]], Meta(max_length=MAX_REPORTED_CLASSES)
+    ] = field(default_factory=dict)
 
 
 def encode_report(report: LoadReport, is_first: bool) -> bytes:
@@ -106,7 +125,7 @@
     """Decode a report of a dunlinlug client or of a plain gRPC client.
 
     Raises:
-        LoadReportError: `data` is not a `LoadStatsRequest`.
+        LoadReportError: `data` is not a `LoadStatsRequest`, or a value is out of bounds.
     """
     request = lrs_pb2.LoadStatsRequest()
     try:
@@ -124,9 +143,21 @@
             continue
         for locality in cluster_statistics.upstream_locality_stats:
             _decode_endpoint_statistics(report, cluster_statistics.cluster_name, locality)
+    _require_report_bounds(report)
     return report
 
 
+def _require_report_bounds(report: LoadReport) -> None:
+    """Raise LoadReportError if a value of the report is out of bounds.
+
+    The fields of a protobuf message have no bounds: a double may be a NaN, and a duration negative.
+    """
+    try:
+        require_bounds(msgspec.to_builtins(report), LoadReport)
+    except OutOfBoundsError as error:
+        raise LoadReportError(f"a value is out of bounds: {error}") from None
+
+
 def _decode_endpoint_statistics(
     report: LoadReport, cluster_name: str, locality: load_report_pb2.UpstreamLocalityStats
 ) -> None:
@@ -203,4 +234,5 @@
         response.ParseFromString(data)
     except DecodeError as error:
         raise LoadReportError(f"not a LoadStatsResponse: {error}") from None
-    return max(response.load_reporting_interval.ToNanoseconds() / 1e9, MIN_REPORT_INTERVAL)
+    interval = response.load_reporting_interval.ToNanoseconds() / 1e9
+    return min(max(interval, MIN_REPORT_INTERVAL), MAX_REPORT_INTERVAL)
--- a/dunlinlug/xds/names.py
+++ b/dunlinlug/xds/names.py
@@ -26,6 +26,10 @@
 NOT_EXECUTED_HEADER = "x-never-ran"  # response header: the request was not executed
 PREVIOUS_HOSTS_PREDICATE = "envoy.retry_host_predicates.previous_hosts"
 
+# Keys of a node's metadata: the requests per second that it expects, and the highest term it saw.
+REQUEST_RATE_KEY = "txns_per_s"
+TERM_KEY = "term"
+
 # Load metrics by traffic class, reported by a proxy.
 REQUESTS_METRIC = "dunlinlug.txns"
 FAILED_REQUESTS_METRIC = "dunlinlug.txns_voided"
--- a/dunlinlug/xds/state_of_the_world.py
+++ b/dunlinlug/xds/state_of_the_world.py
@@ -22,18 +22,21 @@
 from envoy.extensions.filters.network.http_connection_manager.v3 import http_connection_manager_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 from google.protobuf import any_pb2
-from google.protobuf.json_format import MessageToDict
 from google.protobuf.message import DecodeError, Message
 from xxhash import xxh3_64_hexdigest
 
 from dunlinlug.xds import encoding, names
 from dunlinlug.xds.stream import (
+    MAX_NAME_LENGTH,
+    MAX_QUOTED_LENGTH,
     MAX_RESOURCE_NAMES,
     NodeIdentified,
     ResponseAcknowledged,
     ResponseRejected,
     StreamEvent,
     StreamProtocolError,
+    identify_node,
+    require_name_lengths,
 )
 
 # The order in which responses are sent, so that no resource refers to one that the client does not
@@ -144,8 +147,9 @@
     for subscribed resources that differ from those sent.
 
     Attributes:
-        node_id: The node's name, empty before the first request; `zone` and `metadata` are the
-            node's as well. `features` and `acked_versions` are always empty in this form.
+        node_id: The node's name, empty before the first request; `zone`, `metadata`, `request_rate`
+            and `reported_term` are the node's as well, as in `DeltaStream`. `features` and
+            `acked_versions` are always empty in this form.
         control_plane_id: This manager's identifier, with its term if it elects a leader.
         subscribed: Resource names that the client subscribes to, by type.
         sent_versions: Version by name of the last response, by type.
@@ -159,6 +163,8 @@
         self.node_id = ""
         self.zone = ""
         self.metadata: dict[str, object] = {}
+        self.request_rate = 0.0
+        self.reported_term = 0
         self.features: frozenset[str] = frozenset()
         self.acked_versions: dict[str, dict[str, str]] = {names.ENDPOINTS_TYPE: {}}
         self.control_plane_id = "dunlinlug"
@@ -202,11 +208,12 @@
         return events
 
     def _identify_node(self, request: discovery_pb2.DiscoveryRequest) -> NodeIdentified:
-        if not request.node.id:
-            raise StreamProtocolError("the first request must name its node")
-        self.node_id = request.node.id
-        self.zone = request.node.locality.zone
-        self.metadata = MessageToDict(request.node.metadata)
+        node = identify_node(request.node)
+        self.node_id = node.node_id
+        self.zone = node.zone
+        self.metadata = node.metadata
+        self.request_rate = node.request_rate
+        self.reported_term = int(node.reported_term)
         return NodeIdentified(self.node_id)
 
     def _handle_acknowledgement(
@@ -217,7 +224,7 @@
             self.rejected_versions.pop(request.type_url, None)
             return ResponseAcknowledged(nonce)
         self.rejected_versions[request.type_url] = self.sent_versions.get(request.type_url, {})
-        return ResponseRejected(nonce, request.error_detail.message)
+        return ResponseRejected(nonce, request.error_detail.message[:MAX_QUOTED_LENGTH])
 
     def close_type(self, type_url: str) -> None:
         """Drop the subscription and sent versions of one type, as its stream has ended."""
@@ -315,7 +322,10 @@
     type_url = request.type_url
     if type_url not in TYPE_ORDER or (only_type and type_url != only_type):
         served = only_type or ", ".join(TYPE_ORDER)
-        raise StreamProtocolError(f"type {type_url!r} is not served; served are {served}")
+        raise StreamProtocolError(
+            f"type {type_url[:MAX_NAME_LENGTH]!r} is not served; served are {served}"
+        )
     # Limits the memory that a peer can make this process use.
     if len(request.resource_names) > MAX_RESOURCE_NAMES:
         raise StreamProtocolError(f"more than {MAX_RESOURCE_NAMES} resource names")
+    require_name_lengths(request.resource_names)
--- a/dunlinlug/xds/stream.py
+++ b/dunlinlug/xds/stream.py
@@ -1,18 +1,25 @@
 """The server's state of one delta ADS stream: responses by nonce, and acknowledged versions."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from envoy.config.core.v3 import base_pb2
 from envoy.service.discovery.v3 import discovery_pb2
-from google.protobuf.json_format import MessageToDict
 from google.protobuf.message import DecodeError
 
+from dunlinlug.bounded_values import OutOfBoundsError
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.xds import encoding, names
+from dunlinlug.xds.node import ProxyNode, decode_node
 
 # Maximum number of resource names that one stream may subscribe to or hold; a proxy needs about a
 # thousandth of it.
 MAX_RESOURCE_NAMES = 10_000
+# Maximum number of characters of a resource's name or version.
+MAX_NAME_LENGTH = 512
+# Maximum number of a peer's characters that an error or a log line repeats.
+MAX_QUOTED_LENGTH = 1_000
 
 
 class StreamProtocolError(DunlinlugError):
@@ -41,6 +48,22 @@
     reason: str
 
 
+def identify_node(node: base_pb2.Node) -> ProxyNode:
+    """Return the node of a stream's first request; raises StreamProtocolError."""
+    if not node.id:
+        raise StreamProtocolError("the first request must name its node")
+    try:
+        return decode_node(node)
+    except OutOfBoundsError as error:
+        raise StreamProtocolError(f"the node is out of bounds: {error}") from None
+
+
+def require_name_lengths(resource_names: Iterable[str]) -> None:
+    """Raise StreamProtocolError if one of these names or versions is too long."""
+    if any(len(name) > MAX_NAME_LENGTH for name in resource_names):
+        raise StreamProtocolError(f"a resource name of more than {MAX_NAME_LENGTH} characters")
+
+
 StreamEvent = NodeIdentified | ResponseAcknowledged | ResponseRejected
 
 
@@ -58,6 +81,8 @@
     Attributes:
         node_id: The node's name, empty before the first request; `zone`, `metadata` and `features`
             are the node's as well.
+        request_rate: Requests per second that the node expects; 0 if unknown.
+        reported_term: The highest term that the node has seen.
         acked_versions: Version of each resource that the peer holds, by resource name, by type.
         subscribed: Resource names that the peer subscribes to, by type.
         unacknowledged: Responses not yet answered, by nonce.
@@ -71,6 +96,8 @@
         self.node_id = ""
         self.zone = ""
         self.metadata: dict[str, object] = {}
+        self.request_rate = 0.0
+        self.reported_term = 0
         self.features: frozenset[str] = frozenset()
         self.acked_versions: dict[str, dict[str, str]] = {
             names.ENDPOINTS_TYPE: {},
@@ -102,7 +129,7 @@
         if request.type_url not in self.acked_versions:
             served = ", ".join(self.acked_versions)
             raise StreamProtocolError(
-                f"type {request.type_url!r} is not served; served are {served}"
+                f"type {request.type_url[:MAX_NAME_LENGTH]!r} is not served; served are {served}"
             )
         self._update_subscription(request)
         if request.response_nonce:
@@ -110,6 +137,9 @@
         return events
 
     def _update_subscription(self, request: discovery_pb2.DeltaDiscoveryRequest) -> None:
+        require_name_lengths(request.resource_names_subscribe)
+        require_name_lengths(request.initial_resource_versions)
+        require_name_lengths(request.initial_resource_versions.values())
         acked = self.acked_versions[request.type_url]
         if not request.response_nonce or request.response_nonce not in self.unacknowledged:
             acked.update(request.initial_resource_versions)
@@ -121,12 +151,13 @@
             raise StreamProtocolError(f"more than {MAX_RESOURCE_NAMES} resource names")
 
     def _identify_node(self, request: discovery_pb2.DeltaDiscoveryRequest) -> NodeIdentified:
-        if not request.node.id:
-            raise StreamProtocolError("the first request must name its node")
-        self.node_id = request.node.id
-        self.features = frozenset(request.node.client_features)
-        self.zone = request.node.locality.zone
-        self.metadata = MessageToDict(request.node.metadata)
+        node = identify_node(request.node)
+        self.node_id = node.node_id
+        self.features = node.features
+        self.zone = node.zone
+        self.metadata = node.metadata
+        self.request_rate = node.request_rate
+        self.reported_term = int(node.reported_term)
         return NodeIdentified(self.node_id)
 
     def _handle_acknowledgement(
@@ -137,7 +168,7 @@
         if response is None:
             return []  # nonce of an earlier stream, or already answered
         if request.HasField("error_detail"):
-            return [ResponseRejected(nonce, request.error_detail.message)]
+            return [ResponseRejected(nonce, request.error_detail.message[:MAX_QUOTED_LENGTH])]
         acked = self.acked_versions[response.type_url]
         acked.update((resource.name, resource.version) for resource in response.resources)
         for name in response.removed:
--- a/tests/race_conditions/test_out_of_range_values.py
+++ b/tests/race_conditions/test_out_of_range_values.py
@@ -4,21 +4,31 @@
 """
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from math import inf, nan
 from pathlib import Path
 from typing import Any
 
 import pytest
 import trio
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
 
+from dunlinlug import rpc
+from dunlinlug.client import ReportAccumulator
 from dunlinlug.decision.events import Endpoint, Event, HealthCheckCompleted
 from dunlinlug.discovery import entries
 from dunlinlug.discovery.blocking_query import MAX_BACKOFF, BlockingQuery
 from dunlinlug.manager.health_checks import HealthChecker, parse_json_report
-from dunlinlug.net import http
+from dunlinlug.net import grpc, http
 from dunlinlug.platform.load_metrics import parse_text_report
-from tests.fixtures.manager_process import running, until
+from dunlinlug.xds import load_reports, names
+from dunlinlug.xds.fencing_term import superseding_term
+from dunlinlug.xds.load_reports import WorkerStatistics
+from dunlinlug.xds.stream import DeltaStream, StreamProtocolError
+from dunlinlug.xds.subscriber import DeltaSubscriber, ProxyState
+from tests.fixtures.manager_process import WORKERS, has_tables, peer, running, until
 
 DIGITS = b"9" * 400
 NESTED = b"[" * 5000 + b"]" * 5000
@@ -151,3 +161,101 @@
             assert len(run.manager.components.installer.zones) == 6
             body = b""
             await until(lambda: len(run.logged("discovery.recovered")) == n + 1)  # noqa: B023
+
+
+def metric_report(value: float, attempts: int = 5, window: int = 10**9) -> bytes:
+    """A load report with this latency and this metric of one worker."""
+    report = load_reports.LoadReport("p0", "north", 1.0, {WORKERS[0].id: WorkerStatistics(5, 1)})
+    request = lrs_pb2.LoadStatsRequest.FromString(load_reports.encode_report(report, True))
+    request.cluster_stats[0].load_report_interval.FromNanoseconds(window)
+    endpoint = request.cluster_stats[0].upstream_locality_stats[0].upstream_endpoint_stats[0]
+    endpoint.total_issued_requests = attempts
+    endpoint.load_metric_stats[0].total_metric_value = value
+    return request.SerializeToString()
+
+
+UNSOUND_REPORTS = [
+    metric_report(nan),
+    metric_report(inf),
+    metric_report(-1.0),
+    metric_report(1e300),
+    metric_report(1.0, attempts=2**63),
+    metric_report(1.0, window=10**19),
+]
+
+
+async def test_a_load_report_with_a_value_out_of_range_ends_that_stream_alone(
+    tmp_path: Path,
+) -> None:
+    # Review case 2: a latency of NaN put the detector's lists out of order and ended the leader.
+    async with running(tmp_path) as run, peer(run, "p0") as proxy:
+        await proxy.until(has_tables)
+        for body in UNSOUND_REPORTS:
+            call = proxy.link.start_call(names.LRS_METHOD)
+            call.send(body)
+            with trio.fail_after(5.0), pytest.raises(grpc.CallEndedError) as ended:
+                while True:
+                    await call.receive()
+            assert ended.value.status == rpc.Status.INVALID_ARGUMENT
+        assert run.manager.components.service.report_aggregator.endpoint_totals == {}
+        run.roster.update(w2="draining")
+        await proxy.until(lambda state: WORKERS[2].id not in state.usable_weights("press-book"))
+
+
+@pytest.mark.parametrize("key", ["term", "txns_per_s"])
+@pytest.mark.parametrize("number", [nan, inf, -1.0, 1e300])
+async def test_a_node_with_a_number_out_of_range_ends_that_stream_alone(
+    tmp_path: Path, key: str, number: float
+) -> None:
+    # A term of 1e300 was adopted by the leader; the rate of a proxy went unchecked into decisions.
+    async with running(tmp_path) as run, grpc.connect(*run.address) as link:
+        terms = list[int]()
+        run.manager.components.service.register_term_observer(terms.append)
+        subscriber = DeltaSubscriber(ProxyState(), "p0", "north", {})
+        request = discovery_pb2.DeltaDiscoveryRequest.FromString(subscriber.initial_requests()[0])
+        request.node.metadata[key] = number
+        call = link.start_call(names.DELTA_ADS_METHOD)
+        call.send(request.SerializeToString())
+        with trio.fail_after(5.0), pytest.raises(grpc.CallEndedError) as ended:
+            await call.receive()
+        assert ended.value.status == rpc.Status.INVALID_ARGUMENT
+        assert not terms and not run.logged("connection.internal_error")
+
+
+def test_a_rejection_with_a_term_of_fifteen_digits_is_not_taken_for_a_later_leaders() -> None:
+    # The next election's term would have had more digits than proxies read in an identifier.
+    reason = "term 3 of a is over; term {} has been seen"
+    assert superseding_term(reason.format(7)) == 7
+    assert superseding_term(reason.format("9" * 15)) == 0
+
+
+def test_a_workers_metric_out_of_range_is_left_out_of_its_proxys_load_report() -> None:
+    # A worker could end the report stream of each proxy that it answered.
+    accumulator = ReportAccumulator("p0", "north")
+    accumulator.record_attempt("w:80", True, 0.1, {"queue": 2.0, "load": nan, "service_s": -1.0})
+    accumulator.record_attempt("w:80", True, 0.1, {f"m{n}": 1.0 for n in range(200)})
+    report = accumulator.take_report(1.0)
+    assert report.workers["w:80"].load_metrics["queue"] == 2.0
+    assert len(report.workers["w:80"].load_metrics) == 64
+    decoded = load_reports.decode_report(load_reports.encode_report(report, is_first=False))
+    assert "load" not in decoded.workers["w:80"].load_metrics
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda request: request.node.client_features.extend(f"f{n}" for n in range(300)),
+        lambda request: request.resource_names_subscribe.append("x" * 600),
+        lambda request: request.initial_resource_versions.update({"x": "v" * 600}),
+        lambda request: setattr(request.node, "id", "p" * 600),
+    ],
+)
+def test_a_request_with_names_of_great_length_ends_its_stream(
+    change: Callable[[discovery_pb2.DeltaDiscoveryRequest], object],
+) -> None:
+    # A stream kept what its first requests named, up to 10,000 names of up to 16 MiB each.
+    subscriber = DeltaSubscriber(ProxyState(), "p0", "north", {})
+    request = discovery_pb2.DeltaDiscoveryRequest.FromString(subscriber.initial_requests()[0])
+    change(request)
+    with pytest.raises(StreamProtocolError):
+        DeltaStream().receive(request.SerializeToString())
