Operators' requests: a body that is nested deeply or has 400 digits is answered with 400

What was seen: a body of 5,000 brackets (RecursionError) or a weight of 400 digits (OverflowError) ends the manager: the administration endpoint runs in its nursery. A list of some ten thousand names was checked in quadratic time in the decision loop's process.

Change: bodies are read by `bounded_values.parse_json`, a number of too many digits is an invalid value, an override names at most 10,000 workers, and duplicates are counted once.

--- a/dunlinlug/admin/requests.py
+++ b/dunlinlug/admin/requests.py
@@ -1,15 +1,18 @@
 """Parses the bodies of requests: an operator's override, or the name of a member."""
 
-import json
+from collections import Counter
 
 import attrs
 import cattrs
 from cattrs.gen import make_dict_structure_fn
 
+from dunlinlug.bounded_values import OutOfBoundsError, parse_json
 from dunlinlug.decision.settings import TrafficClass
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.guard import Override
 
+MAX_NAMED_WORKERS = 10_000  # endpoints in one override
+
 
 class InvalidRequestError(DunlinlugError, ValueError):
     """A request with an invalid body; the message names the field and the fault."""
@@ -37,7 +40,10 @@
 def _structure_number(value: object, _type: object) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"{value!r} is not a number")
-    return float(value)
+    try:
+        return float(value)  # the guard rejects what is not finite
+    except OverflowError:
+        raise ValueError("a number has too many digits") from None
 
 
 def _structure_text(value: object, _type: object) -> str:
@@ -77,10 +83,8 @@
 
 def _parse_json(body: bytes) -> object:
     try:
-        payload: object = json.loads(body, object_pairs_hook=_reject_duplicate_keys)
-    except InvalidRequestError:
-        raise
-    except ValueError as error:
+        payload: object = parse_json(body, _reject_duplicate_keys)
+    except OutOfBoundsError as error:
         raise InvalidRequestError(f"not JSON: {error}") from None
     return payload
 
@@ -114,12 +118,15 @@
 
 def _merged_weights(request: OverrideRequest) -> dict[str, float | None]:
     """Weight by endpoint: 0 for an excluded endpoint, None for the listed weight."""
+    if max(len(request.weights), len(request.only), len(request.without)) > MAX_NAMED_WORKERS:
+        raise InvalidRequestError(f"more than {MAX_NAMED_WORKERS} workers are named")
     if request.only and request.without:
         raise InvalidRequestError("only and without shut each other out")
     weights: dict[str, float | None] = dict(request.weights)
     selected = request.only or request.without
+    mentions = Counter(selected)
     for worker in selected:
-        if selected.count(worker) > 1:
+        if mentions[worker] > 1:
             raise InvalidRequestError(f"{worker!r} is named twice")
         if worker in request.weights and worker in request.without:
             raise InvalidRequestError(f"{worker!r} is given a weight and left out")
--- a/dunlinlug/bounded_values.py
+++ b/dunlinlug/bounded_values.py
@@ -58,6 +58,14 @@
         return value
 
 
+def decode_msgpack(data: bytes, value_type: Any) -> Any:
+    """Decode msgpack bytes to a bounded type. Raises OutOfBoundsError, whatever the bytes."""
+    try:
+        return msgspec.msgpack.decode(data, type=value_type)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise OutOfBoundsError(str(error)) from None
+
+
 def require_bounds(value: object, value_type: Any) -> Any:
     """Convert a value that was decoded by other means to a bounded type.
 
@@ -78,9 +86,12 @@
 
     Raises:
         OutOfBoundsError: Not JSON, nested too deeply, or a number with too many digits.
+        DunlinlugError: One that `object_pairs_hook` raises.
     """
     try:
         return json.loads(data, object_pairs_hook=object_pairs_hook)
+    except DunlinlugError:
+        raise
     except (ValueError, RecursionError) as error:
         raise OutOfBoundsError(str(error)) from None
 
--- a/tests/race_conditions/test_out_of_range_values.py
+++ b/tests/race_conditions/test_out_of_range_values.py
@@ -28,6 +28,7 @@
 from dunlinlug.xds.load_reports import WorkerStatistics
 from dunlinlug.xds.stream import DeltaStream, StreamProtocolError
 from dunlinlug.xds.subscriber import DeltaSubscriber, ProxyState
+from tests.admin.test_api import running_with_admin_api
 from tests.fixtures.manager_process import WORKERS, has_tables, peer, running, until
 
 DIGITS = b"9" * 400
@@ -259,3 +260,30 @@
     change(request)
     with pytest.raises(StreamProtocolError):
         DeltaStream().receive(request.SerializeToString())
+
+
+def override_body(number: bytes) -> bytes:
+    return b'{"product": "press-book", "lasts": 9, "weights": {"%s": %s}}' % (
+        WORKERS[0].id.encode(),
+        number,
+    )
+
+
+async def test_an_override_with_a_value_out_of_range_is_answered_with_the_reason(
+    tmp_path: Path,
+) -> None:
+    # 5,000 brackets or a weight of 400 digits ended the manager.
+    names_of_workers = json.dumps([f"w{n}" for n in range(10_001)]).encode()
+    async with running_with_admin_api(tmp_path) as (run, client), peer(run, "p0") as proxy:
+        await proxy.until(has_tables)
+        for body in [
+            *(override_body(number) for number in NUMBERS),
+            *(b'{"product": "press-book", "lasts": %s}' % number for number in NUMBERS),
+            b'{"product": "press-book", "lasts": 9, "only": ' + names_of_workers + b"}",
+            b"\xff\xfe",
+            NESTED,
+        ]:
+            for method, path in (("PUT", "/pins"), ("POST", "/pins/propose")):
+                status, answer = await client.send(method, path, body)
+                assert status == 400 and answer["error"], body[:80]
+        assert (await client.activate(only=[WORKERS[0].id]))[0] == 200
