Members' messages and stored records within bounds; a spoilt record is named, not fatal

A load with an infinite channel is merged. A nested record of overrides in the store ends the manager at its start, and any spoilt one when it becomes the leader; a spoilt vote or epoch ends it with a traceback. A malformed record of an override in the members' log ends every member that applies it.

Cause: these readers converted by hand under lists of errors with gaps, or checked a lower bound only.

Change: the message classes declare bounds and `codec.decode` converts to them; broadcasts are decoded by `decode_msgpack`; the store's records by `JsonDecoder`. Wire and stored bytes are as recorded.

What the replicated state of a leader holds is still trusted as its fellow member signed it; only the errors of decoding are whole.

--- a/dunlinlug/admin/client.py
+++ b/dunlinlug/admin/client.py
@@ -10,6 +10,7 @@
 
 from dunlinlug.admin.schemas import ErrorAnswer, RejectionReport
 from dunlinlug.admin.token import TokenFileError, read_token
+from dunlinlug.bounded_values import OutOfBoundsError, parse_json
 from dunlinlug.config import manager_config
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.net import http
@@ -49,7 +50,10 @@
         raise AdminRequestError(
             f"the manager did not answer within {REQUEST_TIMEOUT:g} s"
         ) from None
-    answer: object = json.loads(response.body)
+    try:
+        answer: object = parse_json(response.body)
+    except OutOfBoundsError as error:
+        raise AdminRequestError(f"the manager's answer is not JSON: {error}") from None
     if response.status != 200:
         error_answer = parse_answer(answer, ErrorAnswer)
         raise AdminRequestError(error_answer.message, error_answer.rejections)
--- a/dunlinlug/ads/admin_server.py
+++ b/dunlinlug/ads/admin_server.py
@@ -9,6 +9,7 @@
 from dunlinlug.admin.override_registry import OverrideRegistry
 from dunlinlug.ads import table_view
 from dunlinlug.ads.composition import ManagerComponents
+from dunlinlug.ads.stored_overrides import restore_stored_overrides
 from dunlinlug.config import manager_config
 from dunlinlug.guard import Overrides
 from dunlinlug.manager.order_validation import RecordingOrderValidation
@@ -118,7 +119,7 @@
     listeners = await trio.open_tcp_listeners(port, host=host)
     address: tuple[str, int] = listeners[0].socket.getsockname()[:2]
     if restore_overrides:
-        admin_api.overrides.restore(trio.current_time(), components.store.overrides())
+        restore_stored_overrides(components, admin_api.overrides)
     nursery.start_soon(admin_api.overrides.run)
     nursery.start_soon(http.serve, admin_api.handle, listeners, config.quiet_most, SHUTDOWN_GRACE_S)
     components.log_event("admin.ready", listen=f"{address[0]}:{address[1]}")
--- a/dunlinlug/ads/leadership_callbacks.py
+++ b/dunlinlug/ads/leadership_callbacks.py
@@ -12,6 +12,7 @@
 from dunlinlug.ads.composition import ManagerComponents
 from dunlinlug.ads.membership_callbacks import submit_partition_limits
 from dunlinlug.ads.stored_endpoint_list import submit_stored_list
+from dunlinlug.ads.stored_overrides import restore_stored_overrides
 from dunlinlug.balance import Balancer
 from dunlinlug.config import manager_config
 from dunlinlug.decision.events import Endpoint, EndpointsUpdated, UpdateType
@@ -72,7 +73,7 @@
         if starts_empty:
             submit_stored_list(self.components)
             if self.overrides is not None:
-                self.overrides.restore(trio.current_time(), self.components.store.overrides())
+                restore_stored_overrides(self.components, self.overrides)
         if self.membership is not None:
             # The module's state may still have the partition limits of the previous leader.
             submit_partition_limits(self.components.loop, self.membership.partition_limits)
--- a/dunlinlug/fleet/election/codec.py
+++ b/dunlinlug/fleet/election/codec.py
@@ -13,6 +13,7 @@
 
 import msgpack
 
+from dunlinlug.bounded_values import require_bounds
 from dunlinlug.fleet.election import messages as election_messages
 from dunlinlug.fleet.sealing import (
     FRAME_SEAL,
@@ -38,11 +39,7 @@
         election_messages.TransferLeadership,
     )
 )
-# Wire names of the fields that msgpack decodes as lists, by the type that they have in messages.
-POSITION_FIELDS = ("position", "base", "upto", "committed")  # log positions
-ROW_FIELDS = ("behind", "away", "items")  # tuples of tuples of plain values
-VOTER_SET_FIELD = "roll"
-ENTRIES_FIELD = "entries"
+VOTER_SET_FIELD = "roll"  # on the wire an array of its version and its members
 MessageTypes = Mapping[str, type]  # message classes by wire name
 
 
@@ -68,33 +65,31 @@
 
     Raises:
         AuthenticationError: The body is not a message of one of these types with exactly its
-            fields.
+            fields, all within their bounds.
     """
     try:
         name, fields = msgpack.unpackb(body)
-        _restore_field_types(fields)
         kind = message_types[name]
         attributes = wire_fields(kind)
-        return kind(**{attributes[key]: value for key, value in fields.items()})
-    except (ValueError, TypeError, KeyError, AttributeError, msgpack.UnpackException) as error:
+        values = {attributes[key]: _plain_value(key, value) for key, value in fields.items()}
+        return require_bounds(values, kind)
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        RecursionError,
+        msgpack.UnpackException,
+    ) as error:
         raise AuthenticationError(RejectReason.FRAME_MALFORMED, type(error).__name__) from None
 
 
-def _restore_field_types(fields: dict[str, Any]) -> None:
-    """Converts msgpack's lists and numbers to the types of the message classes, in place."""
-    for key in fields.keys() & POSITION_FIELDS:
-        term, index = fields[key]
-        fields[key] = (int(term), int(index))
-    for key in fields.keys() & ROW_FIELDS:
-        fields[key] = tuple(tuple(row) for row in fields[key])
-    if VOTER_SET_FIELD in fields:
-        version, members = fields[VOTER_SET_FIELD]
-        names = tuple(str(member) for member in members)
-        fields[VOTER_SET_FIELD] = election_messages.VoterSet(int(version), names)
-    if ENTRIES_FIELD in fields:
-        fields[ENTRIES_FIELD] = tuple(bytes(entry) for entry in fields[ENTRIES_FIELD])
-    fields["term"] = int(fields["term"])
-    fields["sender"] = str(fields["sender"])
+def _plain_value(key: str, value: Any) -> Any:
+    """Returns a field's value in the form from which its type is converted."""
+    if key != VOTER_SET_FIELD:
+        return value
+    version, members = value
+    return {"version": version, "members": members}
 
 
 def _signed_prefix(nonce: bytes, sequence: int) -> bytes:
--- a/dunlinlug/fleet/election/messages.py
+++ b/dunlinlug/fleet/election/messages.py
@@ -6,12 +6,20 @@
 """
 
 from dataclasses import dataclass, field
-from typing import ClassVar
+from typing import Annotated, ClassVar
 
+from msgspec import Meta
+
+from dunlinlug.bounded_values import MAX_NAME_LENGTH
 from dunlinlug.fleet.wire_names import wire
 
+# Bounds of what a member sends. Fencing tokens have 31 bits for the term.
+Term = Annotated[int, Meta(ge=0, lt=2**31)]
+LogIndex = Annotated[int, Meta(ge=0, le=2**53)]
+MemberName = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+ClockSeconds = Annotated[float, Meta(ge=-1e12, le=1e12)]
 # The term of a log entry and its index; compared in this order.
-LogPosition = tuple[int, int]
+LogPosition = tuple[Term, LogIndex]
 NO_POSITION: LogPosition = (0, 0)  # position of an empty log
 
 
@@ -19,8 +27,8 @@
 class VoterSet:
     """The names of the voting members, and a version that each change increments."""
 
-    version: int
-    members: tuple[str, ...]
+    version: LogIndex
+    members: tuple[MemberName, ...]
 
     def quorum(self) -> int:
         """Returns how many members form a majority."""
@@ -42,8 +50,8 @@
     """
 
     WIRE_NAME: ClassVar[str] = "Ask"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
     position: LogPosition = field(metadata=wire("position"))
     pre_vote: bool = field(metadata=wire("probe"))
     leadership_transfer: bool = field(default=False, metadata=wire("handed"))
@@ -64,9 +72,9 @@
     """
 
     WIRE_NAME: ClassVar[str] = "Answer"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    request_term: int = field(metadata=wire("asked"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    request_term: Term = field(metadata=wire("asked"))
     pre_vote: bool = field(metadata=wire("probe"))
     granted: bool = field(metadata=wire("granted"))
     recovering: bool = field(metadata=wire("blank"))
@@ -86,9 +94,9 @@
     """
 
     WIRE_NAME: ClassVar[str] = "Beat"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    sent_at: float = field(metadata=wire("sent"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    sent_at: ClockSeconds = field(metadata=wire("sent"))
     voter_set: VoterSet = field(metadata=wire("roll"))
     previous_position: LogPosition = field(metadata=wire("base"))
     entries: tuple[bytes, ...] = field(metadata=wire("entries"))
@@ -108,9 +116,9 @@
     """
 
     WIRE_NAME: ClassVar[str] = "Whole"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    sent_at: float = field(metadata=wire("sent"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    sent_at: ClockSeconds = field(metadata=wire("sent"))
     voter_set: VoterSet = field(metadata=wire("roll"))
     position: LogPosition = field(metadata=wire("position"))
     body: bytes = field(metadata=wire("body"))
@@ -129,9 +137,9 @@
     """
 
     WIRE_NAME: ClassVar[str] = "Heard"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    sent_at: float = field(metadata=wire("sent"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    sent_at: ClockSeconds = field(metadata=wire("sent"))
     position: LogPosition = field(metadata=wire("position"))
     accepted: bool = field(metadata=wire("follows"))
 
@@ -141,8 +149,8 @@
     """Sent by a leader that has stepped down: the receiver starts an election immediately."""
 
     WIRE_NAME: ClassVar[str] = "Pass"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
 
 
 Message = (
--- a/dunlinlug/fleet/election/serialization.py
+++ b/dunlinlug/fleet/election/serialization.py
@@ -125,7 +125,16 @@
             return self._decode(msgpack.unpackb(data, strict_map_key=False), {})
         except SerializationError:
             raise
-        except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            IndexError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+            msgpack.UnpackException,
+        ) as error:
             raise SerializationError(
                 f"cannot be decoded: {type(error).__name__}: {error}"
             ) from None
--- a/dunlinlug/fleet/membership/list_digests.py
+++ b/dunlinlug/fleet/membership/list_digests.py
@@ -13,6 +13,7 @@
 import xxhash
 from msgspec import Meta
 
+from dunlinlug.bounded_values import OutOfBoundsError, decode_msgpack
 from dunlinlug.decision.events import Endpoint
 from dunlinlug.fleet.membership.messages import MAX_MEMBERS, Broadcast
 
@@ -112,8 +113,8 @@
         Returns whether it was newer than the known one.
         """
         try:
-            digest = msgspec.msgpack.decode(broadcast.payload, type=ListDigest)
-        except msgspec.DecodeError:
+            digest: ListDigest = decode_msgpack(broadcast.payload, ListDigest)
+        except OutOfBoundsError:
             return False
         name = broadcast.key.removeprefix(KEY_PREFIX)
         if name in {"", self.self_id}:
--- a/dunlinlug/fleet/membership/load.py
+++ b/dunlinlug/fleet/membership/load.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Meta
 
+from dunlinlug.bounded_values import OutOfBoundsError, decode_msgpack
 from dunlinlug.fleet.membership.messages import Broadcast
 
 KEY_PREFIX = "burden/"  # of broadcast keys; the manager's name follows
@@ -16,7 +17,7 @@
 RECOVERY_THRESHOLD = 0.6
 MAX_MANAGERS = 1024  # managers whose load is kept
 
-Fraction = Annotated[float, Meta(ge=0.0)]
+Fraction = Annotated[float, Meta(ge=0.0, le=1e9)]
 Version = tuple[int, int]  # a manager's start epoch, and a sequence number within it
 
 
@@ -103,8 +104,8 @@
         Returns whether it was newer than the known one.
         """
         try:
-            payload = msgspec.msgpack.decode(broadcast.payload, type=LoadPayload)
-        except msgspec.DecodeError:
+            payload: LoadPayload = decode_msgpack(broadcast.payload, LoadPayload)
+        except OutOfBoundsError:
             return False
         name = broadcast.key.removeprefix(KEY_PREFIX)
         if name in {"", self.self_id}:
--- a/dunlinlug/fleet/membership/shared_observations.py
+++ b/dunlinlug/fleet/membership/shared_observations.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Meta
 
+from dunlinlug.bounded_values import Seconds, decode_msgpack
 from dunlinlug.decision.events import EndpointReported, Event
 from dunlinlug.fleet.membership.messages import Broadcast
 
@@ -33,6 +34,7 @@
 # long and unknown time.
 MAX_FIRST_ATTEMPTS = 50
 MAX_OBSERVATION_AGE = 8.0  # seconds, ten half-lives; older evidence is not used
+MAX_COUNT = 1e15  # of a manager that never restarts
 MAX_WORKERS = 4096  # workers counted, and remote counts kept; the oldest are dropped first
 
 
@@ -46,10 +48,10 @@
         age: Seconds since the newest report that is counted.
     """
 
-    attempts: Annotated[float, Meta(ge=0)]
-    failures: Annotated[float, Meta(ge=0)]
-    success_seconds: Annotated[float, Meta(ge=0.0)]
-    age: Annotated[float, Meta(ge=0.0)]
+    attempts: Annotated[float, Meta(ge=0, le=MAX_COUNT)]
+    failures: Annotated[float, Meta(ge=0, le=MAX_COUNT)]
+    success_seconds: Annotated[float, Meta(ge=0.0, le=MAX_COUNT)]
+    age: Seconds
 
 
 NO_COUNTS = ObservationCounts(0, 0, 0.0, 0.0)
@@ -161,9 +163,9 @@
         known, local or malformed.
         """
         try:
-            counts = msgspec.msgpack.decode(broadcast.payload, type=ObservationCounts)
+            counts: ObservationCounts = decode_msgpack(broadcast.payload, ObservationCounts)
             kind, reporter, start_epoch, worker = broadcast.key.split("/", 3)
-        except (msgspec.DecodeError, ValueError):
+        except ValueError:  # OutOfBoundsError is one
             return []
         if f"{kind}/{reporter}/{start_epoch}" == self.key_prefix:
             return []
--- a/dunlinlug/fleet/ownership/messages.py
+++ b/dunlinlug/fleet/ownership/messages.py
@@ -11,13 +11,14 @@
 import xxhash
 from msgspec import Meta
 
-from dunlinlug.fleet.election.messages import LogPosition
+from dunlinlug.fleet.election.messages import ClockSeconds, LogIndex, LogPosition, MemberName, Term
 from dunlinlug.fleet.ownership.fencing import FencingToken
 from dunlinlug.fleet.wire_names import by_wire_name, wire
 
 # With 256 shards the shares of fifty members differ by at most a fifth, and one log entry can still
 # assign all shards.
 SHARDS = 256
+MAX_TASK_NAME_LENGTH = 512
 MAX_CHECKPOINT_BYTES = 1024  # fits an operator override that names about twenty workers
 INDEX_BITS = 32  # low bits of a token: the index of the entry
 
@@ -38,14 +39,18 @@
     return token >> INDEX_BITS
 
 
-ShardToken = tuple[int, int]  # a shard, and a token of it
+TaskName = Annotated[str, Meta(max_length=MAX_TASK_NAME_LENGTH)]
+Token = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Incarnation = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+# A shard, and a token of it.
+ShardToken = tuple[Annotated[int, Meta(ge=0, lt=SHARDS)], Token]
 
 
 class TaskCheckpoint(NamedTuple):
     """A task's progress, from which its next owner continues."""
 
-    task: Annotated[str, Meta(max_length=128)]
-    token: Annotated[int, Meta(ge=0)]  # under which the progress was made
+    task: TaskName
+    token: Token  # under which the progress was made
     body: Annotated[bytes, Meta(max_length=MAX_CHECKPOINT_BYTES)]
 
 
@@ -54,11 +59,11 @@
     """Requests an extension of the lease on all shards of the sender from the coordinator."""
 
     WIRE_NAME: ClassVar[str] = "Renew"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    sent_at: float = field(metadata=wire("sent"))  # seconds on the sender's clock
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    sent_at: ClockSeconds = field(metadata=wire("sent"))  # seconds on the sender's clock
     # A random number drawn when the sender's process started.
-    incarnation: int = field(metadata=wire("born"))
+    incarnation: Incarnation = field(metadata=wire("born"))
     # Shards of the sender with tokens that executors have seen and the sender's do not exceed.
     outdated_tokens: tuple[ShardToken, ...] = field(default=(), metadata=wire("behind"))
     # Shards that the sender has released on request, with the tokens it held.
@@ -74,14 +79,14 @@
     """
 
     WIRE_NAME: ClassVar[str] = "Granted"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
     # When the renewal was sent, in seconds on the clock of the member that sent it.
-    sent_at: float = field(metadata=wire("sent"))
-    duration: float = field(metadata=wire("left"))  # seconds on the coordinator's clock
+    sent_at: ClockSeconds = field(metadata=wire("sent"))
+    duration: ClockSeconds = field(metadata=wire("left"))  # seconds on the coordinator's clock
     log_position: LogPosition = field(metadata=wire("upto"))
     committed: LogPosition = field(metadata=wire("committed"))
-    incarnation: int = field(metadata=wire("born"))
+    incarnation: Incarnation = field(metadata=wire("born"))
 
 
 @dataclass(frozen=True)
@@ -89,8 +94,8 @@
     """Reports the progress of the sender's tasks to the coordinator."""
 
     WIRE_NAME: ClassVar[str] = "Note"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
     items: tuple[TaskCheckpoint, ...] = field(metadata=wire("items"))
 
     def __post_init__(self) -> None:
@@ -103,12 +108,12 @@
     """Requests that an executor carry out an effect of a task."""
 
     WIRE_NAME: ClassVar[str] = "Effect"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    task: str = field(metadata=wire("piece"))
-    token: int = field(metadata=wire("number"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    task: TaskName = field(metadata=wire("piece"))
+    token: Token = field(metadata=wire("number"))
     # Position among the effects of the task's shard under this token.
-    sequence: int = field(metadata=wire("count"))
+    sequence: LogIndex = field(metadata=wire("count"))
     body: bytes = field(metadata=wire("body"))
 
 
@@ -117,15 +122,15 @@
     """Answers an effect."""
 
     WIRE_NAME: ClassVar[str] = "Outcome"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    task: str = field(metadata=wire("piece"))
-    token: int = field(metadata=wire("number"))
-    sequence: int = field(metadata=wire("count"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    task: TaskName = field(metadata=wire("piece"))
+    token: Token = field(metadata=wire("number"))
+    sequence: LogIndex = field(metadata=wire("count"))
     done: bool = field(metadata=wire("done"))
     # The highest token that the executor has for the shard, and that token's owner.
-    highest_token: int = field(metadata=wire("seen"))
-    owner: str = field(metadata=wire("owner"))
+    highest_token: Token = field(metadata=wire("seen"))
+    owner: MemberName = field(metadata=wire("owner"))
 
     @classmethod
     def rejection(
@@ -149,9 +154,9 @@
     """Requests work on a task from its owner, on behalf of the sender."""
 
     WIRE_NAME: ClassVar[str] = "Want"
-    term: int = field(metadata=wire("term"))
-    sender: str = field(metadata=wire("sender"))
-    task: str = field(metadata=wire("piece"))
+    term: Term = field(metadata=wire("term"))
+    sender: MemberName = field(metadata=wire("sender"))
+    task: TaskName = field(metadata=wire("piece"))
     body: bytes = field(metadata=wire("body"))
 
 
--- a/dunlinlug/fleet/ownership/service.py
+++ b/dunlinlug/fleet/ownership/service.py
@@ -32,10 +32,9 @@
 from dunlinlug.fleet.ownership.options import LeaseTiming, OwnershipOptions
 from dunlinlug.fleet.ownership.protocol import OwnershipProtocol
 from dunlinlug.fleet.ownership.status import RecentChange, describe_changes, describe_protocol
-from dunlinlug.storage.store import Store
+from dunlinlug.storage.store import OWNERSHIP_VOTE_KEY, Store
 
 MAX_RECENT_CHANGES = 50  # changes of assignments kept for status output
-VOTE_STORE_NAME = "owners"  # the key of this log's vote in the store
 INCARNATION_BITS = 62
 
 
@@ -290,7 +289,7 @@
                 self.transport.send(recipient, message)
             case log_messages.Persist(term, voted_for, voter_set):
                 members = list(voter_set.members)
-                self.store.put_vote(term, voted_for, voter_set.version, members, VOTE_STORE_NAME)
+                self.store.put_vote(term, voted_for, voter_set.version, members, OWNERSHIP_VOTE_KEY)
             case log_messages.BecomeLeader(term):
                 self.log_event("ownership.became_coordinator", term=term)
             case log_messages.StepDown(reason):
@@ -326,7 +325,7 @@
 
 def _stored_vote(store: Store, config: OwnershipConfig) -> log_messages.Persist:
     """Returns the stored vote of the log; by default one in which the configured members vote."""
-    stored = store.vote(VOTE_STORE_NAME)
+    stored = store.vote(OWNERSHIP_VOTE_KEY)
     if not stored:
         voter_set = log_messages.VoterSet(1, tuple(sorted(config.addresses)))
         return log_messages.Persist(0, "", voter_set)
--- a/dunlinlug/fleet/ownership/shared_health_checks.py
+++ b/dunlinlug/fleet/ownership/shared_health_checks.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from dunlinlug.bounded_values import Name, OutOfBoundsError, Seconds, decode_msgpack
 from dunlinlug.decision.events import Event, HealthCheckCompleted
 from dunlinlug.fleet.ownership.health_check_assignment import (
     MAX_RESULT_AGE,
@@ -27,11 +28,11 @@
 class HealthCheckBroadcast(msgspec.Struct, frozen=True, array_like=True):
     """A result that is sent to another member."""
 
-    worker: str
+    worker: Name
     healthy: bool
-    result: str
-    duration: float  # seconds
-    age: float  # seconds from the end of the check to the sending of this message
+    result: Name
+    duration: Seconds
+    age: Seconds  # from the end of the check to the sending of this message
 
 
 class HealthCheckCoordinator:
@@ -156,8 +157,8 @@
     def _handle_result(self, effect: Effect) -> None:
         """Handles another member's result; handling the same result twice is harmless."""
         try:
-            broadcast = msgspec.msgpack.decode(effect.body, type=HealthCheckBroadcast)
-        except msgspec.DecodeError:
+            broadcast: HealthCheckBroadcast = decode_msgpack(effect.body, HealthCheckBroadcast)
+        except OutOfBoundsError:
             return
         if broadcast.age > MAX_RESULT_AGE:
             return
--- a/dunlinlug/fleet/ownership/shared_overrides.py
+++ b/dunlinlug/fleet/ownership/shared_overrides.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+import msgspec
 import trio
 
+from dunlinlug.bounded_values import JsonDecoder, OutOfBoundsError, UnixSeconds, parse_json
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.fleet.ownership.service import Ownership
 
@@ -19,6 +21,15 @@
 POLL_INTERVAL = 0.2  # seconds between comparisons with the log
 
 
+class _RecordedExpiry(msgspec.Struct):
+    """The expiry in a record, in seconds on the wall clock; the registry decodes the rest."""
+
+    until: UnixSeconds
+
+
+_expiry_decoder = JsonDecoder[_RecordedExpiry](_RecordedExpiry)
+
+
 class OverrideRegistry(Protocol):
     """A manager's active overrides, as JSON objects with wall-clock times."""
 
@@ -28,7 +39,11 @@
         """Returns all active overrides, at most one for each traffic class."""
 
     def activate_plain(self, now: float, entry: dict[str, Any]) -> None:
-        """Activates an override; raises an order validation error if it is not allowed here."""
+        """Activates an override.
+
+        Raises an order validation error if it is not allowed here, or OutOfBoundsError if it is
+        malformed.
+        """
 
     def end(self, now: float, traffic_class: int) -> bool:
         """Ends the override of a traffic class; returns whether there was one."""
@@ -47,7 +62,7 @@
     """Keeps a manager's overrides consistent with the log.
 
     Attributes:
-        rejection_errors: Errors that the registry raises for an override not allowed here.
+        record_errors: Errors of a record that is malformed, or whose override is not allowed here.
         wall_clock: Returns seconds since the epoch.
         applied_records: The last applied record of the log by traffic class.
     """
@@ -62,7 +77,7 @@
     ) -> None:
         self.ownership = ownership
         self.registry = registry
-        self.rejection_errors = rejection_errors
+        self.record_errors: tuple[type[Exception], ...] = (OutOfBoundsError, *rejection_errors)
         self.log_event = log_event
         self.wall_clock = wall_clock
         self.applied_records: dict[str, bytes] = {}
@@ -139,12 +154,15 @@
 
     def _apply(self, traffic_class: str, record: bytes) -> None:
         """Applies a record; an override rejected here may still be active on other managers."""
+        try:
+            self._apply_decoded(traffic_class, record)
+        except self.record_errors as error:
+            self.log_event("override.not_applied", product=traffic_class, why=str(error))
+
+    def _apply_decoded(self, traffic_class: str, record: bytes) -> None:
+        """Applies a record; raises OutOfBoundsError if it is malformed, or a rejection error."""
         now = trio.current_time()
-        override = None if record == OVERRIDE_ENDED else json.loads(record)
-        if override is None or override["until"] <= self.wall_clock():
+        if record == OVERRIDE_ENDED or _expiry_decoder.decode(record).until <= self.wall_clock():
             self.registry.end(now, self._index(traffic_class))
         elif record != self._current_record(traffic_class):
-            try:
-                self.registry.activate_plain(now, override)
-            except self.rejection_errors as error:
-                self.log_event("override.not_applied", product=traffic_class, why=str(error))
+            self.registry.activate_plain(now, parse_json(record))
--- a/dunlinlug/storage/records.py
+++ b/dunlinlug/storage/records.py
@@ -1,8 +1,24 @@
 """The records of the store; `rename` maps fields to their stored keys."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
+from msgspec import Meta
+
+from dunlinlug.bounded_values import require_bounds
+
+MAX_STORED_WEIGHT = 10**6
+MAX_STORED_TIME = 10**11  # seconds on the wall clock
+
+# A whole number is written back as it was read, so that a record keeps its bytes.
+StoredWeight = (
+    Annotated[int, Meta(ge=0, le=MAX_STORED_WEIGHT)]
+    | Annotated[float, Meta(ge=0.0, le=float(MAX_STORED_WEIGHT))]
+)
+StoredTime = (
+    Annotated[int, Meta(ge=0, le=MAX_STORED_TIME)]
+    | Annotated[float, Meta(ge=0.0, le=float(MAX_STORED_TIME))]
+)
 
 
 class StoredVote(NamedTuple):
@@ -33,14 +49,15 @@
     """
 
     traffic_class: str
-    weights: dict[str, float | int | None]
+    weights: dict[str, StoredWeight | None]
     keep_unlisted: bool
-    expires_at: float | int
+    expires_at: StoredTime
 
     @classmethod
     def from_plain(cls, plain: dict[str, object]) -> "StoredOverride":
-        """Convert from a dict with the stored keys. Raises `msgspec.ValidationError`."""
-        return msgspec.convert(plain, cls)
+        """Convert from a dict with the stored keys. Raises OutOfBoundsError."""
+        override: StoredOverride = require_bounds(plain, cls)
+        return override
 
     def to_plain(self) -> dict[str, object]:
         """Convert to a dict for JSON, with the stored keys."""
@@ -74,7 +91,7 @@
     """
 
     number: int
-    rejected_at: float | int
+    rejected_at: StoredTime
     order: str
     rule: str
     reason: str
--- a/dunlinlug/storage/store.py
+++ b/dunlinlug/storage/store.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 import lmdb
-import msgspec
 
+from dunlinlug.bounded_values import JsonDecoder, OutOfBoundsError
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.storage.records import StoredOverride, StoredRejection, StoredVote
 
@@ -24,6 +24,12 @@
 REJECTION_COUNT_KEY = b"refusals"
 REJECTION_KEY_PREFIX = b"refusal "
 ELECTION_VOTE_KEY = "vote"
+OWNERSHIP_VOTE_KEY = "owners"
+MAX_NUMBER_DIGITS = 18  # of a stored number
+
+_vote_decoder = JsonDecoder[StoredVote | None](StoredVote | None)
+_overrides_decoder = JsonDecoder[list[StoredOverride]](list[StoredOverride])
+_rejection_decoder = JsonDecoder[StoredRejection](StoredRejection)
 
 
 class StoreError(DunlinlugError):
@@ -40,7 +46,8 @@
         """Open the store; create it if it does not exist.
 
         Raises:
-            StoreError: Another process has it open, or lmdb cannot open it.
+            StoreError: Another process has it open, lmdb cannot open it, or the vote in it is
+                invalid.
         """
         self.folder = folder
         folder.mkdir(parents=True, exist_ok=True)
@@ -53,6 +60,9 @@
             self.environment = lmdb.open(str(folder), map_size=MAP_SIZE_BYTES)
         except lmdb.Error as error:
             raise StoreError(f"{folder}: {error}") from None
+        # A member that forgot its vote could vote twice in a term, so it does not start without it.
+        for key in (ELECTION_VOTE_KEY, OWNERSHIP_VOTE_KEY):
+            self.vote(key)
 
     def _get(self, key: bytes) -> bytes | None:
         with self.environment.begin() as transaction:
@@ -64,12 +74,23 @@
             transaction.put(key, value)
 
     def next_epoch(self) -> int:
-        """Increment the start epoch and return it; the first start has epoch 1."""
+        """Increment the start epoch and return it; the first start has epoch 1.
+
+        Raises:
+            StoreError: The stored value is not a number.
+        """
         with self.environment.begin(write=True) as transaction:
-            epoch = int(transaction.get(EPOCH_KEY) or b"0") + 1
+            epoch = self._number(EPOCH_KEY, transaction.get(EPOCH_KEY)) + 1
             transaction.put(EPOCH_KEY, str(epoch).encode())
         return epoch
 
+    def _number(self, key: bytes, value: bytes | None) -> int:
+        """Decode a stored decimal number, 0 if there is none. Raises StoreError."""
+        text = value or b"0"
+        if not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
+            raise StoreError(f"{self.folder}: {key.decode()}: {text[:40]!r} is not a number")
+        return int(text)
+
     def endpoint_list(self) -> bytes | None:
         """Return the last stored response body of service discovery; None if there is none."""
         return self._get(LIST_KEY)
@@ -84,7 +105,7 @@
         Beyond `max_rejections`, the oldest are overwritten.
         """
         with self.environment.begin(write=True) as transaction:
-            count = int(transaction.get(REJECTION_COUNT_KEY) or b"0")
+            count = self._number(REJECTION_COUNT_KEY, transaction.get(REJECTION_COUNT_KEY))
             for rejection in rejections:
                 key = REJECTION_KEY_PREFIX + b"%08d" % (count % max(max_rejections, 1))
                 transaction.put(key, json.dumps({"n": count, **rejection}).encode())
@@ -92,9 +113,18 @@
             transaction.put(REJECTION_COUNT_KEY, str(count).encode())
 
     def vote(self, key: str = ELECTION_VOTE_KEY) -> StoredVote | None:
-        """Return the last vote stored under the key of the election or of another log, or None."""
-        found = json.loads(self._get(key.encode()) or b"null")
-        return StoredVote(*found) if found else None
+        """Return the last vote stored under the key of the election or of another log, or None.
+
+        Raises:
+            StoreError: The stored value is not a vote.
+        """
+        body = self._get(key.encode())
+        if body is None:
+            return None
+        try:
+            return _vote_decoder.decode(body)
+        except OutOfBoundsError as error:
+            raise StoreError(f"{self.folder}: {key}: not a vote: {error}") from None
 
     def put_vote(
         self,
@@ -115,9 +145,8 @@
             StoreError: The stored value is not a list of overrides.
         """
         try:
-            plain_overrides = json.loads(self._get(OVERRIDES_KEY) or b"[]")
-            return msgspec.convert(plain_overrides, list[StoredOverride])
-        except (ValueError, msgspec.ValidationError) as error:
+            return _overrides_decoder.decode(self._get(OVERRIDES_KEY) or b"[]")
+        except OutOfBoundsError as error:
             raise StoreError(f"{self.folder}: pins: not a list of overrides: {error}") from None
 
     def put_overrides(self, overrides: Sequence[StoredOverride]) -> None:
@@ -145,10 +174,10 @@
             environment.begin() as transaction,
         ):
             rejections = [
-                msgspec.convert(json.loads(value), StoredRejection)
+                _rejection_decoder.decode(value)
                 for key, value in transaction.cursor()
                 if key.startswith(REJECTION_KEY_PREFIX)
             ]
-    except (lmdb.Error, msgspec.ValidationError) as error:
+    except (lmdb.Error, OutOfBoundsError) as error:
         raise StoreError(f"{folder}: {error}") from None
     return sorted(rejections, key=lambda rejection: rejection.number)
--- a/dunlinlug/xds/fencing_term.py
+++ b/dunlinlug/xds/fencing_term.py
@@ -5,9 +5,9 @@
 
 import re
 
-# Highest term that is believed of a proxy; above it, the terms of later elections could have more
-# digits than an identifier.
-MAX_REPORTED_TERM = 10**12
+# Highest term that is believed of a proxy: half of what a term may be, so that later elections have
+# terms left.
+MAX_REPORTED_TERM = 2**30
 IDENTIFIER_PATTERN = re.compile(r"term (\d{1,15}) of ([\w.:-]{1,64})")
 
 
--- a/tests/race_conditions/test_out_of_range_values.py
+++ b/tests/race_conditions/test_out_of_range_values.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgpack
 import pytest
 import trio
 from envoy.service.discovery.v3 import discovery_pb2
@@ -20,9 +21,21 @@
 from dunlinlug.decision.events import Endpoint, Event, HealthCheckCompleted
 from dunlinlug.discovery import entries
 from dunlinlug.discovery.blocking_query import MAX_BACKOFF, BlockingQuery
+from dunlinlug.fleet.election import codec
+from dunlinlug.fleet.membership.load import ManagerLoads
+from dunlinlug.fleet.membership.messages import Broadcast
+from dunlinlug.fleet.membership.shared_observations import SharedObservations
+from dunlinlug.fleet.sealing import AuthenticationError
 from dunlinlug.manager.health_checks import HealthChecker, parse_json_report
 from dunlinlug.net import grpc, http
 from dunlinlug.platform.load_metrics import parse_text_report
+from dunlinlug.storage.store import (
+    ELECTION_VOTE_KEY,
+    EPOCH_KEY,
+    OVERRIDES_KEY,
+    Store,
+    StoreError,
+)
 from dunlinlug.xds import load_reports, names
 from dunlinlug.xds.fencing_term import superseding_term
 from dunlinlug.xds.load_reports import WorkerStatistics
@@ -287,3 +300,107 @@
                 status, answer = await client.send(method, path, body)
                 assert status == 400 and answer["error"], body[:80]
         assert (await client.activate(only=[WORKERS[0].id]))[0] == 200
+
+
+@pytest.mark.parametrize(
+    "record",
+    [NESTED, b"7", b'[{"product": "press-book", "weights": {"w": NaN}}]', b"\xff", b"[{}]"],
+)
+async def test_a_manager_starts_without_overrides_that_its_store_has_spoilt(
+    tmp_path: Path, record: bytes
+) -> None:
+    # A nested record ended the manager at its start, as did any other when it became the leader.
+    store = Store(tmp_path / "store")
+    with store.environment.begin(write=True) as transaction:
+        transaction.put(OVERRIDES_KEY, record)
+    store.close()
+    async with running_with_admin_api(tmp_path) as (run, client):
+        await until(lambda: bool(run.manager.components.installer.zones))
+        assert len(run.logged("store.invalid_overrides")) == 1
+        assert (await client.send("GET", "/tables"))[0] == 200
+
+
+@pytest.mark.parametrize("record", [NESTED, b"7", b"[1]", b'["1", "a", 1, []]', b"\xff"])
+def test_a_store_with_a_spoilt_vote_is_refused_with_the_reason(
+    tmp_path: Path, record: bytes
+) -> None:
+    # The manager ended with a traceback after it had begun to serve.
+    store = Store(tmp_path)
+    with store.environment.begin(write=True) as transaction:
+        transaction.put(ELECTION_VOTE_KEY.encode(), record)
+    store.close()
+    with pytest.raises(StoreError, match="not a vote"):
+        Store(tmp_path)
+
+
+@pytest.mark.parametrize("record", [b"x", b"-1", b"9" * 5000, "٣".encode()])
+def test_a_store_with_a_spoilt_epoch_is_refused_with_the_reason(
+    tmp_path: Path, record: bytes
+) -> None:
+    store = Store(tmp_path)
+    with store.environment.begin(write=True) as transaction:
+        transaction.put(EPOCH_KEY, record)
+    with pytest.raises(StoreError, match="is not a number"):
+        store.next_epoch()
+    store.close()
+
+
+VALID_VOTE_REQUEST: dict[str, Any] = {
+    "term": 3,
+    "sender": "a",
+    "position": [2, 9],
+    "probe": False,
+    "handed": False,
+}
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"term": inf},
+        {"term": 2**62},
+        {"term": -1},
+        {"term": "3"},
+        {"sender": 7},
+        {"sender": "a" * 600},
+        {"position": [2]},
+        {"position": [inf, 9]},
+        {"position": "29"},
+        {"probe": 1},
+    ],
+    ids=str,
+)
+def test_a_members_message_with_a_value_out_of_range_is_rejected(field: dict[str, Any]) -> None:
+    # A term of infinity raised OverflowError in the nursery of the member that received it.
+    assert codec.decode(msgpack.packb(["Ask", VALID_VOTE_REQUEST]))
+    with pytest.raises(AuthenticationError):
+        codec.decode(msgpack.packb(["Ask", {**VALID_VOTE_REQUEST, **field}]))
+
+
+def nested_array(depth: int) -> bytes:
+    return b"\x91" * depth + b"\x01"
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        msgpack.packb([1, 1, [1, inf, 0.0, 0.0]]),
+        msgpack.packb([1, 1, [1, nan, 0.0, 0.0]]),
+        b"\x94\x01\x01\x94\x01\x00\x00\x00" + nested_array(5000),
+    ],
+    ids=["infinity", "nan", "nested"],
+)
+def test_a_members_load_out_of_range_is_not_merged(payload: bytes) -> None:
+    loads = ManagerLoads("a", 1)
+    assert not loads.merge(0.0, Broadcast("burden/b", payload))
+    assert loads.current_loads(0.0) == {}
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [msgpack.packb([inf, 0.0, 0.0, 0.0]), msgpack.packb([5.0, 1.0, 0.0, nan]), nested_array(5000)],
+    ids=["infinity", "nan", "nested"],
+)
+def test_a_members_observation_out_of_range_is_no_evidence(payload: bytes) -> None:
+    observations = SharedObservations("a", 1)
+    assert observations.merge(0.0, Broadcast("met/b/1/w", payload)) == []
--- a/tests/recorded/record_store.py
+++ b/tests/recorded/record_store.py
@@ -11,11 +11,11 @@
 import lmdb
 import msgspec
 
-from dunlinlug.fleet.ownership.service import VOTE_STORE_NAME as OWNERS_LOG
 from dunlinlug.guard import OrderValidator, Rejection
 from dunlinlug.manager.order_validation import RecordingOrderValidation
 from dunlinlug.storage.records import StoredOverride
 from dunlinlug.storage.store import MAP_SIZE_BYTES, Store, read_rejections
+from dunlinlug.storage.store import OWNERSHIP_VOTE_KEY as OWNERS_LOG
 from tests.decision.rules_model import manager_settings
 from tests.recorded import plain
 from tests.recorded.plain import DATA, Plain, bytes_of, text_of, write_json
