Client library: what a manager sends out of range ends its connection, not the proxy

A drop of 101 in 100 admits nothing, an unknown denominator raises IndexError, port 70000 is dialled with OverflowError, a timeout below 0 fails every attempt.

Change: a status that is no number counts as UNKNOWN, a header that is not UTF-8 ends the connection; the subscription connects anew after errors of decoding; table and routes out of bounds are rejected.

--- a/dunlinlug/client/table_subscriber.py
+++ b/dunlinlug/client/table_subscriber.py
@@ -12,9 +12,18 @@
 from dunlinlug.client.report_accumulator import ReportAccumulator
 from dunlinlug.net import grpc
 from dunlinlug.xds import load_reports, names
+from dunlinlug.xds.decoding import DecodingError
 from dunlinlug.xds.subscriber import AppliedResponse, DeltaSubscriber, ProxyState
 
 Address = tuple[str, int]
+# What ends a connection, to be opened anew: it broke, or the manager sent what is no message.
+CONNECTION_ERRORS = (
+    OSError,
+    grpc.CallEndedError,
+    trio.TooSlowError,
+    DecodingError,
+    load_reports.LoadReportError,
+)
 
 
 def _do_nothing(*_: object) -> None:
@@ -99,7 +108,7 @@
                         self.connections[address] = connection
                         connection.resume_reading = self.resume_reading
                         await self._run_calls(connection, address)
-            except* (OSError, grpc.CallEndedError, trio.TooSlowError):
+            except* CONNECTION_ERRORS:
                 pass
             self.connections.pop(address, None)
             await trio.sleep(self.reconnect_interval * self.random_uniform(0.5, 1.5))
--- a/dunlinlug/net/http.py
+++ b/dunlinlug/net/http.py
@@ -301,7 +301,7 @@
     async def _connect(self) -> tuple[trio.SocketStream, h11.Connection]:
         try:
             stream = await trio.open_tcp_stream(self.host, self.port)
-        except (OSError, ValueError) as error:  # ValueError: not a valid host name
+        except (OSError, ValueError, OverflowError) as error:  # not a valid host name or port
             raise HttpError(
                 f"no connection to {self.host}:{self.port}: {error}", request_sent=False
             ) from None
--- a/dunlinlug/rpc/connection.py
+++ b/dunlinlug/rpc/connection.py
@@ -33,6 +33,7 @@
 # Maximum bytes of one message: about ten times the largest table of a fleet of a thousand workers.
 MAX_MESSAGE_SIZE = 16 * 2**20
 INITIAL_WINDOW_SIZE = 2**20  # bytes; the receive window of each call
+MAX_STATUS_DIGITS = 2  # of a gRPC status code; the highest is 16
 PING_PAYLOAD = b"dunlinlu"  # HTTP/2 requires eight bytes
 
 
@@ -41,6 +42,13 @@
     return dict(headers or ())
 
 
+def _status_code(text: str) -> int:
+    """Return the number of a gRPC status; that of UNKNOWN for a text that is none."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_STATUS_DIGITS:
+        return int(Status.UNKNOWN)
+    return int(text)
+
+
 class _CallState:
     """One call: the partially received message, and the queue of data to send.
 
@@ -219,7 +227,7 @@
         try:
             h2_events = self.h2.receive_data(data)
             self._check_frame_lengths(data)
-        except h2.exceptions.ProtocolError as error:
+        except (h2.exceptions.ProtocolError, UnicodeDecodeError) as error:
             self.closed = True
             self.calls.clear()
             return [ConnectionClosed(f"HTTP/2 protocol error: {type(error).__name__}: {error}")]
@@ -314,7 +322,7 @@
         return [
             TrailersReceived(
                 stream_id,
-                int(headers.get("grpc-status", "2")),
+                _status_code(headers.get("grpc-status", "")),
                 unquote(headers.get("grpc-message", "")),
             )
         ]
--- a/dunlinlug/xds/decoding.py
+++ b/dunlinlug/xds/decoding.py
@@ -11,6 +11,11 @@
 from dunlinlug.errors import DunlinlugError
 from dunlinlug.xds import encoding, names
 
+MAX_PORT = 65535
+# By the enumeration of a FractionalPercent.
+DENOMINATORS = {0: 100, 1: 10_000, 2: encoding.MILLION}
+MAX_ATTEMPT_TIMEOUT = 3600.0  # seconds
+
 
 class DecodingError(DunlinlugError):
     """A resource that cannot be applied; the text is the reason for the NACK."""
@@ -39,8 +44,8 @@
     """Decode a table, or the ejections resource.
 
     Raises:
-        DecodingError: `value` is not a `ClusterLoadAssignment`, or has a worker twice or without
-            weight.
+        DecodingError: `value` is not a `ClusterLoadAssignment`, has a worker twice or without
+            weight, or a value out of bounds.
     """
     assignment = endpoint_pb2.ClusterLoadAssignment()
     try:
@@ -53,6 +58,8 @@
     for locality in assignment.endpoints:
         for entry in locality.lb_endpoints:
             address = entry.endpoint.address.socket_address
+            if not 0 < address.port_value <= MAX_PORT:
+                raise DecodingError(f"{assignment.cluster_name}: port {address.port_value}")
             worker = f"{address.address}:{address.port_value}"
             if worker in weights:
                 raise DecodingError(f"{assignment.cluster_name}: {worker} is named twice")
@@ -73,8 +80,10 @@
 
 
 def _decode_fraction(percentage: percent_pb2.FractionalPercent) -> float:
-    """Return a fraction from 0 to 1; the denominator enum is hundred, ten thousand, million."""
-    denominator = (100, 10_000, encoding.MILLION)[percentage.denominator]
+    """Return a fraction from 0 to 1. Raises DecodingError."""
+    denominator = DENOMINATORS.get(percentage.denominator)
+    if denominator is None or percentage.numerator > denominator:
+        raise DecodingError(f"a fraction of {percentage.numerator} in {denominator}")
     fraction: float = percentage.numerator / denominator
     return fraction
 
@@ -83,8 +92,8 @@
     """Decode the routes: table name and retry policy by traffic class.
 
     Raises:
-        DecodingError: `value` is not a `RouteConfiguration`, or a virtual host does not have
-            exactly one route.
+        DecodingError: `value` is not a `RouteConfiguration`, a virtual host does not have exactly
+            one route, or a timeout is out of bounds.
     """
     route_configuration = route_pb2.RouteConfiguration()
     try:
@@ -101,9 +110,10 @@
 
 
 def _decode_retry_policy(policy: route_components_pb2.RetryPolicy) -> encoding.RetryPolicy:
-    return encoding.RetryPolicy(
-        _decode_retry_mode(policy), policy.per_try_timeout.ToNanoseconds() / 1e9
-    )
+    attempt_timeout = policy.per_try_timeout.ToNanoseconds() / 1e9
+    if not 0.0 <= attempt_timeout <= MAX_ATTEMPT_TIMEOUT:
+        raise DecodingError(f"a timeout of {attempt_timeout:g} s for one attempt")
+    return encoding.RetryPolicy(_decode_retry_mode(policy), attempt_timeout)
 
 
 def _decode_retry_mode(policy: route_components_pb2.RetryPolicy) -> int:
--- a/tests/rpc/test_connection.py
+++ b/tests/rpc/test_connection.py
@@ -179,3 +179,33 @@
     server.send(stream, b"too late")
     server.finish(stream, rpc.Status.OK)
     assert server.data_to_send() == b""
+
+
+@pytest.mark.parametrize("status", ["", "x", "9" * 5000, "²", "-1", "\u0663"])
+def test_a_status_that_is_no_number_ends_its_call_alone(
+    client: rpc.Connection, server: rpc.Connection, status: str
+) -> None:
+    # A ValueError left the client's connection and ended the process that follows a manager.
+    stream = client.start_call("/some.Service/Method", "here")
+    transfer(client, server)
+    server.h2.send_headers(
+        stream, [(":status", "200"), ("grpc-status", status or "?")], end_stream=True
+    )
+    events = transfer(server, client)
+    assert events == [rpc.TrailersReceived(stream, int(rpc.Status.UNKNOWN), "")]
+    assert not client.closed
+
+
+def test_a_header_that_is_not_utf_8_ends_its_connection(server: rpc.Connection) -> None:
+    # A UnicodeDecodeError left the connection as an internal error.
+    sender = h2.connection.H2Connection(
+        h2.config.H2Configuration(client_side=True, validate_outbound_headers=False)
+    )
+    sender.initiate_connection()
+    sender.send_headers(
+        1,
+        [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/\xff"), (b":authority", b"a")],
+    )
+    events = server.receive(sender.data_to_send())
+    assert [type(event) for event in events] == [rpc.ConnectionClosed]
+    assert server.closed
--- a/tests/xds/test_subscriber.py
+++ b/tests/xds/test_subscriber.py
@@ -19,8 +19,13 @@
     for _ in range(2 if defect == "duplicate worker" else 1):
         entry = table.endpoints.add().lb_endpoints.add()
         entry.endpoint.address.socket_address.address = "127.0.0.1"
-        entry.endpoint.address.socket_address.port_value = 9
+        entry.endpoint.address.socket_address.port_value = 70_000 if defect == "port" else 9
         entry.load_balancing_weight.value = 0 if defect == "no weight" else 5
+    if defect in ("fraction", "denominator"):
+        # A negative fraction admitted nothing, an unknown denominator raised an IndexError.
+        drop = table.policy.drop_overloads.add(category="read").drop_percentage
+        drop.numerator = 101
+        drop.denominator = 0 if defect == "fraction" else 7
     resource.resource.value = (
         b"\xff\xff" if defect == "not a message" else table.SerializeToString()
     )
@@ -42,6 +47,9 @@
         ("unknown table", "which is not held"),
         ("not a message", "not a ClusterLoadAssignment"),
         ("table in use", "in use and cannot be taken away"),
+        ("port", "port 70000"),
+        ("fraction", "a fraction of 101 in 100"),
+        ("denominator", "a fraction of 101 in None"),
     ],
 )
 def test_a_proxy_rejects_an_invalid_response_and_keeps_its_state(defect: str, reason: str) -> None:
