A proxy's first table may use all of its messages, as it tells of drains

Cause: the first table, which alone tells a proxy of earlier drains, had the message limit of health orders, 60% of the messages, counted over all its streams. A roll-out uses these up.

Change: an urgency has a priority for the message limit of its own; that of NEW_PROXY is mandatory. In entries and queue length it stands back as before.

--- a/dunlinlug/decision/flow_control.py
+++ b/dunlinlug/decision/flow_control.py
@@ -34,11 +34,17 @@
 class Urgency:
     """The priority of an order and the longest channel queue behind which it may be sent.
 
-    `max_drain_time` is that queue length, in seconds needed to drain it.
+    `max_drain_time` is that queue length, in seconds needed to drain it. `message_priority` is the
+    priority by which a proxy's message limit applies; by default it is `priority`.
     """
 
     priority: Priority
     max_drain_time: float = inf
+    message_priority: Priority | None = None
+
+    def limit_priority(self) -> Priority:
+        """Return the priority by which a proxy's message limit applies."""
+        return self.priority if self.message_priority is None else self.message_priority
 
 
 # Orders required by the safety rules are sent behind a queue of any drain time.
@@ -183,7 +189,10 @@
             return None
         if not self.fits(entries, priority):
             return None
-        if any(self.budget.exceeds_message_limit(p, self.now, priority) for p in new_proxy_ids):
+        limit_priority = urgency.limit_priority()
+        if any(
+            self.budget.exceeds_message_limit(p, self.now, limit_priority) for p in new_proxy_ids
+        ):
             self.deferred = True
             return None
         return entries
--- a/dunlinlug/decision/table_update.py
+++ b/dunlinlug/decision/table_update.py
@@ -45,8 +45,9 @@
 ACK_TIMEOUT = 3.0
 # Seconds from the last acknowledgement to the deletion of the old table.
 TABLE_RETENTION = 2.0
-# Urgencies of assigning proxies to a current table.
-NEW_PROXY = Urgency(Priority.HEALTH, 2 * BASE_DRAIN_TIME)
+# Urgencies of assigning proxies to a current table. The first table tells a proxy of the endpoints
+# that began to drain while it was disconnected, so it may use the messages reserved for drains.
+NEW_PROXY = Urgency(Priority.HEALTH, 2 * BASE_DRAIN_TIME, message_priority=Priority.MANDATORY)
 SWITCH = Urgency(Priority.BULK, 2 * BASE_DRAIN_TIME)
 CROWDED_SWITCH = Urgency(Priority.BULK, 3 * BASE_DRAIN_TIME)
 
--- a/tests/reference_model/balance.py
+++ b/tests/reference_model/balance.py
@@ -155,6 +155,7 @@
         entries_each: float,
         priority: int,
         max_drain_time: float = inf,
+        message_priority: int | None = None,
     ) -> float | None:
         """Return what so many entries for each of these proxies cost; None if they may not go."""
         if self.exceeds_drain(max_drain_time) or not self.fits(
@@ -170,7 +171,10 @@
         ):
             return None
         exceeds_limit = any(
-            self.budget.exceeds_message_limit(p, self.now, priority) for p in new_proxy_ids
+            self.budget.exceeds_message_limit(
+                p, self.now, priority if message_priority is None else message_priority
+            )
+            for p in new_proxy_ids
         )
         self.deferred = self.deferred or exceeds_limit
         return None if exceeds_limit else entries
@@ -181,9 +185,14 @@
         entries_each: float,
         priority: int,
         max_drain_time: float = inf,
+        message_priority: int | None = None,
     ) -> bool:
         """Charge entries to each of these proxies; False, without a charge, if they may not go."""
-        if (entries := self.cost(proxy_ids, entries_each, priority, max_drain_time)) is None:
+        if (
+            entries := self.cost(
+                proxy_ids, entries_each, priority, max_drain_time, message_priority
+            )
+        ) is None:
             return False
         for proxy_id in proxy_ids:
             self.entries_by_proxy[proxy_id] = (
@@ -1200,10 +1209,11 @@
         table: Table,
         priority: int,
         max_drain_time: float = inf,
+        message_priority: int | None = None,
     ) -> bool:
         """Send a proxy its table; False if the channel does not allow it now."""
         if was_reserved := batch.reserve(
-            (proxy_id,), self._assignment_cost(table), priority, max_drain_time
+            (proxy_id,), self._assignment_cost(table), priority, max_drain_time, message_priority
         ):
             batch.orders.append(AssignTable(proxy_id, traffic_classes, table.table_id))
             self.assignments.assign(proxy_id, traffic_classes, table, batch.ack_number, batch.now)
@@ -1690,6 +1700,7 @@
                             table,
                             priority,
                             max_drain_time,
+                            0 if new_proxies else None,
                         )
                     if not batch.fits(cost, priority):
                         break
