Platform: memory of unjoined and of silent peers is bounded in sum

Cause: the message of an unjoined peer is at most 4 KiB, but 64 KiB were read at once, kept in the line buffer and, as the task lingers 0.2 s for the peer to read the error, once more on the task's stack: some 190 KB for each of 950. Found beside it: 1 MiB of output for each of 200 proxies that do not read exceeds the limit as well, as no sum was kept.

Change: an unjoined peer is read 4,097 bytes at a time, a rejected one's buffer is dropped, what it sends afterwards goes into one shared buffer, at most 128 KiB of it. Unsent output of all connections is bounded by 32 MiB, the largest is ended first. `ByteBudget` (net/peer_limits.py) counts both sums; the sum of incomplete messages uses it too.

--- /dev/null
+++ b/dunlinlug/net/peer_limits.py
@@ -0,0 +1,76 @@
+"""Limits on what all peers of a listener use together: connections, and bytes not yet handled.
+
+A limit for each connection alone does not bound their sum. These classes decide which peer is ended
+when a sum is exceeded; the caller ends it. They do no I/O and read no clock.
+"""
+
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+Peer = TypeVar("Peer", bound=Hashable)
+
+
+class ByteBudget(Generic[Peer]):
+    """Counts the bytes that are held for each peer, received or still to be sent.
+
+    While the sum exceeds `max_bytes`, the peer with the most bytes is to be ended; a peer that
+    sends and reads messages as it should has a small part of them.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.bytes_by_peer: dict[Peer, int] = {}
+        self.total = 0
+
+    def set_bytes(self, peer: Peer, byte_count: int) -> None:
+        """Set the bytes that are held for a peer; 0 removes it."""
+        self.total += byte_count - self.bytes_by_peer.pop(peer, 0)
+        if byte_count:
+            self.bytes_by_peer[peer] = byte_count
+
+    def take_largest(self) -> Peer | None:
+        """Remove and return the peer with the most bytes while the sum is exceeded, else None."""
+        if self.total <= self.max_bytes:
+            return None
+        largest = max(self.bytes_by_peer, key=self.bytes_by_peer.__getitem__)
+        self.set_bytes(largest, 0)
+        return largest
+
+
+class ConnectionTable(Generic[Peer]):
+    """The open connections of a listener, of which those without a valid message are limited more.
+
+    A connection is new until its peer has sent a valid message. Beyond a limit, the oldest new
+    connection is to be closed, so that a peer whose message follows its connect is served; a
+    connection that has been established is closed for no other.
+    """
+
+    def __init__(self, max_connections: int, max_new: int) -> None:
+        self.max_connections = max_connections
+        self.max_new = max_new
+        self.new_connections: dict[Peer, None] = {}  # oldest first
+        self.established = set[Peer]()
+
+    def add(self, connection: Peer) -> Peer | None:
+        """Add a new connection; return the one that is to be closed for it, or None.
+
+        It is the added one if all others are established.
+        """
+        self.new_connections[connection] = None
+        count = len(self.new_connections) + len(self.established)
+        if len(self.new_connections) <= self.max_new and count <= self.max_connections:
+            return None
+        oldest = next(iter(self.new_connections))
+        del self.new_connections[oldest]
+        return oldest
+
+    def establish(self, connection: Peer) -> None:
+        """Count a connection as established: its peer has sent a valid message."""
+        if connection in self.new_connections:
+            del self.new_connections[connection]
+            self.established.add(connection)
+
+    def remove(self, connection: Peer) -> None:
+        """Remove a connection that has ended."""
+        self.new_connections.pop(connection, None)
+        self.established.discard(connection)
--- a/dunlinlug/platform/connections.py
+++ b/dunlinlug/platform/connections.py
@@ -17,6 +17,7 @@
     ProxyDisconnected,
 )
 from dunlinlug.errors import DunlinlugError
+from dunlinlug.net.peer_limits import ByteBudget
 from dunlinlug.platform import messages
 from dunlinlug.platform.load_metrics import convert_metrics
 from dunlinlug.platform.messages import (
@@ -93,8 +94,7 @@
         self.submit = submit
         self.peer_by_proxy: dict[int, Peer] = {}
         self.collectors: dict[str, list[Peer]] = {zone: [] for zone in zones}
-        self.partial_bytes: dict[Peer, int] = {}  # of the incomplete message of each peer with one
-        self.partial_bytes_total = 0
+        self.partial_messages = ByteBudget[Peer](MAX_PARTIAL_BYTES)
         self.counts: Counter[str] = Counter()
         self.error_samples: dict[str, str] = {}  # one for each kind since the last summary
 
@@ -116,6 +116,9 @@
         except MalformedMessageError as error:
             peer.ended = True
             raise ConnectionRejectedError(str(error)) from None
+        finally:
+            if peer.ended:
+                peer.line_splitter.clear()
         self._limit_partial_bytes(peer)
         return answer
 
@@ -125,25 +128,18 @@
         A peer that sends messages as they should be has a few hundred bytes of one at most.
         Raises ConnectionRejectedError if this peer is ended.
         """
-        self._set_partial_bytes(peer, len(peer.line_splitter.buffer))
-        while self.partial_bytes_total > MAX_PARTIAL_BYTES:
-            largest = max(self.partial_bytes, key=self.partial_bytes.__getitem__)
-            self._set_partial_bytes(largest, 0)
-            largest.line_splitter.buffer.clear()
+        self.partial_messages.set_bytes(peer, len(peer.line_splitter.buffer))
+        while (largest := self.partial_messages.take_largest()) is not None:
+            largest.line_splitter.clear()
             reason = "incomplete messages are too large in sum"
             if largest is peer:
                 peer.ended = True
                 raise ConnectionRejectedError(reason)
             self._end_replaced(largest, reason)
 
-    def _set_partial_bytes(self, peer: Peer, byte_count: int) -> None:
-        self.partial_bytes_total += byte_count - self.partial_bytes.pop(peer, 0)
-        if byte_count:
-            self.partial_bytes[peer] = byte_count
-
     def remove_peer(self, peer: Peer) -> None:
         """Remove a peer whose connection has ended."""
-        self._set_partial_bytes(peer, 0)
+        self.partial_messages.set_bytes(peer, 0)
         if peer.proxy is not None:
             if self.peer_by_proxy.get(peer.proxy) is peer:
                 del self.peer_by_proxy[peer.proxy]
--- a/dunlinlug/platform/messages.py
+++ b/dunlinlug/platform/messages.py
@@ -177,6 +177,11 @@
         self.scanned_bytes = len(rest)
         return lines
 
+    def clear(self) -> None:
+        """Drop the incomplete line of a peer that has ended."""
+        self.buffer = bytearray()
+        self.scanned_bytes = 0
+
     def check_partial_line(self) -> None:
         """Raise MalformedMessageError if the incomplete line cannot become a message."""
         if len(self.buffer) > self.max_bytes:
--- a/dunlinlug/platform/server.py
+++ b/dunlinlug/platform/server.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from dunlinlug.net.peer_limits import ByteBudget
 from dunlinlug.platform import messages
 from dunlinlug.platform.connections import ConnectionRejectedError, Peer, PeerRegistry
 from dunlinlug.platform.orders import ProxyMessage
@@ -32,6 +33,10 @@
 LISTEN_BACKLOG = 4096
 # Seconds that a peer has to read an error before its connection is closed.
 ERROR_LINGER_S = 0.2
+# Bytes that are read meanwhile; a peer that sends more does not wait for an answer.
+MAX_DISCARDED_BYTES = 2**17
+# Bytes of buffered output of all connections together.
+MAX_UNSENT_BYTES_TOTAL = 2**25
 RESOURCE_EXHAUSTION_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 MAX_TRACEBACK_CHARACTERS = 2000
 
@@ -54,6 +59,8 @@
         self.connection_ended = trio.Event()  # set when a connection ends, then replaced
         self.accept_scope = trio.CancelScope()
         self.accepted_count = 0
+        self.discard_buffer = bytearray(READ_BYTES)
+        self.unsent_output = ByteBudget[Connection](MAX_UNSENT_BYTES_TOTAL)
 
     def deliver(self, proxy: int, message: ProxyMessage) -> None:
         """Write a message to a proxy; drop it if the proxy is not connected."""
@@ -113,7 +120,7 @@
         with suppress(OSError):  # already reset by the peer; the first read detects it
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.accepted_count += 1
-        connection = Connection(sock, trio.current_time())
+        connection = Connection(sock, trio.current_time(), self._limit_unsent)
         self.connections[connection.peer] = connection
         self.unjoined[connection] = None
         nursery.start_soon(self._serve_connection, connection)
@@ -145,6 +152,12 @@
                 with trio.move_on_after(DESCRIPTOR_PAUSE_S):
                     await self.unjoined_removed.wait()
 
+    def _limit_unsent(self, connection: Connection) -> None:
+        """End peers that do not read while the buffered output of all is too large."""
+        self.unsent_output.set_bytes(connection, len(connection.unsent))
+        while (largest := self.unsent_output.take_largest()) is not None:
+            largest.end("output is too large in sum")
+
     def _remove_unjoined(self, connection: Connection) -> None:
         """Remove a connection that has joined or ended from the unjoined ones."""
         if connection in self.unjoined:
@@ -203,7 +216,7 @@
     async def _read(self, connection: Connection) -> bool:
         """Handle data received so far, if any; return False at the connection's end."""
         try:
-            data = connection.sock.recv(READ_BYTES)
+            data = connection.sock.recv(connection.read_size())
         except BlockingIOError:
             return True
         except OSError:
@@ -242,16 +255,19 @@
             connection.sock.shutdown(socket.SHUT_WR)
         except OSError:
             return
+        discarded_bytes = 0
         with trio.move_on_after(ERROR_LINGER_S):
-            while True:
+            while discarded_bytes < MAX_DISCARDED_BYTES:
                 await trio.lowlevel.wait_readable(connection.sock)
                 try:
-                    if not connection.sock.recv(READ_BYTES):
-                        return
+                    received_bytes = connection.sock.recv_into(self.discard_buffer)
                 except BlockingIOError:
                     continue
                 except OSError:
                     return
+                if not received_bytes:
+                    return
+                discarded_bytes += received_bytes
 
 
 def listen(host: str, port: int) -> socket.socket:
--- a/dunlinlug/platform/socket_connection.py
+++ b/dunlinlug/platform/socket_connection.py
@@ -6,13 +6,17 @@
 
 import select
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 import trio
 
 from dunlinlug.platform.connections import Peer
+from dunlinlug.platform.messages import MAX_UNJOINED_LINE_BYTES
 
 READ_BYTES = 2**16  # maximum bytes in one read or write
+# The same of a peer that has not joined; just more than its longest message.
+UNJOINED_READ_BYTES = MAX_UNJOINED_LINE_BYTES + 1
 # Limit of buffered output, enough for minutes of updates; a peer beyond it does not read at all.
 MAX_UNSENT_BYTES = 2**20
 
@@ -21,11 +25,18 @@
     """A connection's socket, its peer and its output buffer.
 
     `accepted_at` is on trio's clock. The connection's task runs in `scope`; `end_reason` is the
-    reason if the manager ended the connection.
+    reason if the manager ended the connection. `on_unsent_changed` is called when the buffer has
+    changed.
     """
 
-    def __init__(self, sock: socket.socket, now: float) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        now: float,
+        on_unsent_changed: Callable[["Connection"], None] = lambda _connection: None,
+    ) -> None:
         self.sock = sock
+        self.on_unsent_changed = on_unsent_changed
         self.accepted_at = now
         self.peer = Peer(self.end)
         self.unsent = bytearray()
@@ -48,6 +59,11 @@
             self.output_queued.set()
             if len(self.unsent) > MAX_UNSENT_BYTES:
                 self.end("it does not read")
+            self.on_unsent_changed(self)
+
+    def read_size(self) -> int:
+        """Return the maximum bytes of the next read."""
+        return READ_BYTES if self.peer.joined else UNJOINED_READ_BYTES
 
     async def flush(self) -> None:
         """Write buffered output until cancelled or the connection fails."""
@@ -62,12 +78,14 @@
                 except OSError:
                     self.discard_unsent()
                     return
+                self.on_unsent_changed(self)
             self.output_queued = trio.Event()
             self.discard_unsent()
 
     def discard_unsent(self) -> None:
         """Clear the buffer and wake tasks that wait for it: no more of it will be written."""
         self.unsent.clear()
+        self.on_unsent_changed(self)
         self.output_drained.set()
         self.output_drained = trio.Event()
 
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -300,11 +300,12 @@
                 largest_sum, sum(len(each.line_splitter.buffer) for each in [useful, *others])
             )
     assert largest_sum <= MAX_PARTIAL_BYTES
-    assert harness.registry.partial_bytes_total <= MAX_PARTIAL_BYTES
+    assert harness.registry.partial_messages.total <= MAX_PARTIAL_BYTES
     assert not useful.ended and len(harness.ended) + sum(each.ended for each in others) > 300
     before = len(harness.events)
     harness.registry.receive(useful, DEMAND_REPORT[40:] + b"\n", 1.0)
     assert isinstance(harness.events[before], DemandReported)
     for peer in [useful, *others]:
         harness.registry.remove_peer(peer)
-    assert harness.registry.partial_bytes_total == 0 and not harness.registry.partial_bytes
+    assert harness.registry.partial_messages.total == 0
+    assert not harness.registry.partial_messages.bytes_by_peer
