xDS manager: what the peers of a listener use together is bounded

Cause: each connection and each message had a limit, their sum had none. A body was read before its token was looked at; flow control was granted whatever was held; the HTTP/2 library keeps the frames of a header block up to 1 MiB; a closed connection's buffers lived until the next garbage collection.

Change: `ConnectionTable` and `ByteBudget` (net/peer_limits.py, no I/O) decide whom to end. gRPC: 2,048 connections, of which 1,024 without a valid message, the oldest of these ended first, one that has sent a valid message for no other; 32 MiB of incomplete and unhandled messages, the largest ended first; 2 MiB for a message, 256 KiB until the first valid one, 64 KiB for a header block.

--- a/dunlinlug/admin/api.py
+++ b/dunlinlug/admin/api.py
@@ -99,14 +99,24 @@
         authorization = request.headers.get("authorization", "")
         return hmac.compare_digest(authorization.encode(), f"Bearer {self.token}".encode())
 
+    def check_token(self, request: Request) -> Response | None:
+        """Return the answer to a request without the token that it needs, else None.
+
+        The body is not read, so that it need not have been received.
+        """
+        if _needs_no_token(request) or self._is_authorized(request):
+            return None
+        return _error_response(
+            401, "no token, or not the right one: say authorization: Bearer TOKEN"
+        )
+
     async def handle(self, request: Request) -> Response:
         """Answer one request; an invalid one gets an error answer and keeps the connection open."""
-        if (request.method, request.path) == ("GET", "/health"):
+        if _needs_no_token(request):
             return Response.json(self.get_health())
-        if not self._is_authorized(request):
-            return _error_response(
-                401, "no token, or not the right one: say authorization: Bearer TOKEN"
-            )
+        rejection = self.check_token(request)
+        if rejection is not None:
+            return rejection
         try:
             return await self._route(request, trio.current_time())
         except (requests.InvalidRequestError, OverrideError) as error:
@@ -260,5 +270,9 @@
         )
 
 
+def _needs_no_token(request: Request) -> bool:
+    return (request.method, request.path) == ("GET", "/health")
+
+
 def _error_response(status: int, message: str, **details: object) -> Response:
     return Response.json({"error": message, **details}, status)
--- a/dunlinlug/ads/admin_server.py
+++ b/dunlinlug/ads/admin_server.py
@@ -1,5 +1,6 @@
 """Builds the admin API from a manager's components and serves it over HTTP."""
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import TypedDict
 
@@ -17,6 +18,10 @@
 
 # Seconds allowed for requests in progress when the manager stops; most take a few milliseconds.
 SHUTDOWN_GRACE_S = 1.0
+# Operators and their tools use a few connections; an override of 10,000 workers has 0.5 MiB.
+LIMITS = http.ServerLimits(
+    max_connections=64, max_new_connections=32, max_body_size=2**20, max_received_bytes=2**22
+)
 
 
 class HealthDescription(TypedDict):
@@ -101,6 +106,7 @@
     components: ManagerComponents,
     restore_overrides: bool,
     nursery: trio.Nursery,
+    on_error: Callable[[Exception], None],
 ) -> tuple[str, int]:
     """Serve the API in the nursery and return the address that it listens on.
 
@@ -110,6 +116,7 @@
         restore_overrides: Whether to apply the stored overrides now; with leader election, a
             member restores them only when it becomes leader.
         nursery: Runs the server's tasks.
+        on_error: Called with an internal error of one connection, which ends only that connection.
 
     Raises:
         OSError: The port is in use.
@@ -121,6 +128,13 @@
     if restore_overrides:
         restore_stored_overrides(components, admin_api.overrides)
     nursery.start_soon(admin_api.overrides.run)
-    nursery.start_soon(http.serve, admin_api.handle, listeners, config.quiet_most, SHUTDOWN_GRACE_S)
+    nursery.start_soon(
+        http.serve,
+        admin_api.handle,
+        listeners,
+        config.quiet_most,
+        SHUTDOWN_GRACE_S,
+        http.ServerOptions(LIMITS, admin_api.check_token, on_error),
+    )
     components.log_event("admin.ready", listen=f"{address[0]}:{address[1]}")
     return address
--- a/dunlinlug/ads/main.py
+++ b/dunlinlug/ads/main.py
@@ -143,7 +143,11 @@
         """Serve the admin API if there is one. Raises OSError if the port is in use."""
         if self.admin_api is not None:
             self.admin_address = await start_admin_api(
-                self.admin_api, self.components, self.leadership is None, nursery
+                self.admin_api,
+                self.components,
+                self.leadership is None,
+                nursery,
+                self._log_connection_error,
             )
 
     async def _start_leadership(self, leadership: Leadership, nursery: trio.Nursery) -> None:
--- a/dunlinlug/ads/service.py
+++ b/dunlinlug/ads/service.py
@@ -169,6 +169,7 @@
         stream = session.stream
         held_tables = stream.acked_versions[names.ENDPOINTS_TYPE]
         self.sessions[session.proxy] = session
+        session.call.connection.establish()
         self.installer.add_proxy(
             session.proxy,
             supports_ejection_overlay,
@@ -221,9 +222,9 @@
                     call.finish(Status.PERMISSION_DENIED, f"{node_id} is not {identity}")
                     return
                 call.send(load_reports.encode_response(self.report_interval))
-            self._add_report(node_id, report)
+            self._add_report(call, node_id, report)
 
-    def _add_report(self, node_id: str, report: load_reports.LoadReport) -> None:
+    def _add_report(self, call: Call, node_id: str, report: load_reports.LoadReport) -> None:
         """Aggregate a connected proxy's report, without workers that were never listed."""
         # A peer could otherwise report invented workers, filling the aggregator and using up the
         # rate at which the decision module receives reports.
@@ -235,6 +236,7 @@
         proxy = self.proxy_numbers.get(node_id)
         if proxy is None or proxy not in self.sessions:
             return
+        call.connection.establish()
         zone = self.sessions[proxy].stream.zone
         self.report_aggregator.add_report(trio.current_time(), proxy, zone, report)
 
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -14,7 +14,8 @@
 from dunlinlug import rpc
 from dunlinlug.errors import DunlinlugError
 
-READ_SIZE = 2**16  # maximum bytes of one read
+# Maximum bytes of one read. Many small calls fit in it, and others wait while it is handled.
+READ_SIZE = 2**14
 # Maximum received messages of a call that are not yet handled; a call that exceeds it is ended.
 MAX_PENDING_MESSAGES = 256
 # Seconds for finishing a write and sending GOAWAY on close; a peer that does not read gets neither.
@@ -39,6 +40,7 @@
         ended: Status and reason once the call has ended, else None.
         headers_received: Set once the response headers are received (client side) or the call ends.
         scope: Cancel it to stop the task that serves the call.
+        pending_bytes: Bytes of the received messages that are not yet handled.
     """
 
     def __init__(self, connection: "GrpcConnection", stream_id: int, path: str) -> None:
@@ -51,6 +53,7 @@
         self.ended: CallEndedError | None = None
         self.headers_received = trio.Event()
         self.scope = trio.CancelScope()
+        self.pending_bytes = 0
 
     async def receive(self) -> bytes:
         """Return the next message.
@@ -59,9 +62,12 @@
             CallEndedError: The call has ended and there are no more messages.
         """
         try:
-            return await self.message_receiver.receive()
+            message = await self.message_receiver.receive()
         except trio.EndOfChannel:
             raise self.ended or CallEndedError(None, "the peer ended the call") from None
+        self.pending_bytes -= len(message)
+        self.connection.count_received()
+        return message
 
     def send(self, message: bytes, buffered: bool = False) -> None:
         """Queue a message; check `unsent_bytes` before queueing many.
@@ -106,14 +112,29 @@
         self.message_sender.close()
 
 
+def _ignore_received(_connection: "GrpcConnection", _byte_count: int) -> None:
+    return None
+
+
+def _ignore_established(_connection: "GrpcConnection") -> None:
+    return None
+
+
 class GrpcConnection:
     """A socket with its protocol state and its calls by stream id.
 
     Attributes:
         identity: The peer's name in its certificate; empty without TLS.
+        served_calls: Calls whose handlers run (server side); the peer may have ended them.
         outgoing: Bytes taken from the protocol and not yet written, `unwritten_bytes` in total.
         last_received_at: When the last byte was received (trio's clock).
         resume_reading: Reading is paused until this event is set; None to read.
+        scope: Cancel it to close the connection.
+        established: Whether the peer has sent a valid message (server side).
+        new_bytes_left: Bytes that it may send until then.
+        on_received: Called with the bytes that are held of incomplete and of unhandled messages
+            whenever their number has changed.
+        on_established: Called when the peer has sent a valid message.
     """
 
     def __init__(
@@ -123,6 +144,7 @@
         self.protocol = protocol
         self.identity = identity
         self.calls: dict[int, Call] = {}
+        self.served_calls = set[Call]()
         self.write_requested = trio.Event()
         self.write_completed = trio.Event()
         self.outgoing = list[bytes]()
@@ -132,6 +154,30 @@
         self.write_scope = trio.CancelScope()
         self.write_interrupted = False
         self.close_deadline = inf
+        self.scope = trio.CancelScope()
+        self.established = False
+        self.new_bytes_left = inf
+        self.on_received: Callable[[GrpcConnection, int], None] = _ignore_received
+        self.on_established: Callable[[GrpcConnection], None] = _ignore_established
+
+    def count_received(self) -> None:
+        """Report the bytes that are held of the peer's incomplete and unhandled messages."""
+        pending_bytes = sum(call.pending_bytes for call in self.served_calls)
+        self.on_received(self, self.protocol.held_bytes() + pending_bytes)
+
+    def abort(self) -> None:
+        """Close the connection, and drop what was received at once.
+
+        The objects of a connection refer to each other, so that they are freed only by a later
+        garbage collection.
+        """
+        self.protocol.discard_received()
+        self.scope.cancel()
+
+    def establish(self) -> None:
+        """Report that the peer has sent a valid message."""
+        self.established = True
+        self.on_established(self)
 
     def flush(self) -> None:
         """Write the protocol's pending bytes; the writer task writes the rest later."""
@@ -180,6 +226,7 @@
         """
         try:
             async with trio.open_nursery() as nursery:
+                self.scope = nursery.cancel_scope
                 nursery.start_soon(self._write)
                 nursery.start_soon(
                     self._close_when_idle,
@@ -192,6 +239,7 @@
         finally:
             for call in list(self.calls.values()):
                 call.end(None, "the connection was lost")
+            self.protocol.discard_received()
             await self._close()
 
     async def _close(self) -> None:
@@ -223,10 +271,18 @@
             if not data:
                 return
             self.last_received_at = trio.current_time()
+            if not self._admits(len(data)):
+                return
             for event in self.protocol.receive(bytes(data)):
                 self._handle_event(event, nursery, handler)
+            self.count_received()
             self.flush()
 
+    def _admits(self, byte_count: int) -> bool:
+        """Count received bytes; whether a peer without a valid message may send so many."""
+        self.new_bytes_left -= byte_count
+        return self.established or self.new_bytes_left >= 0
+
     def _handle_event(
         self,
         event: rpc.Event,
@@ -237,6 +293,7 @@
             case rpc.CallStarted(stream_id, path) if handler is not None:
                 call = Call(self, stream_id, path)
                 self.calls[stream_id] = call
+                self.served_calls.add(call)
                 nursery.start_soon(self._serve_call, call, handler)
             case rpc.MessageReceived(stream_id, data) if stream_id in self.calls:
                 self._handle_message(self.calls[stream_id], data)
@@ -255,6 +312,7 @@
     def _handle_message(self, call: Call, data: bytes) -> None:
         try:
             call.message_sender.send_nowait(data)
+            call.pending_bytes += len(data)
         except trio.WouldBlock:
             # Limits the memory used by a peer that sends faster than its messages are handled.
             call.finish(rpc.Status.RESOURCE_EXHAUSTED, "messages come too fast")
@@ -267,8 +325,12 @@
             self.calls.pop(stream_id).end(status, reason)
 
     async def _serve_call(self, call: Call, handler: Callable[[Call], Awaitable[None]]) -> None:
-        with call.scope, suppress(CallEndedError):
-            await handler(call)
+        try:
+            with call.scope, suppress(CallEndedError):
+                await handler(call)
+        finally:
+            self.served_calls.discard(call)
+            self.count_received()
         self.protocol.finish(call.stream_id, rpc.Status.OK if call.ended else rpc.Status.CANCELLED)
         self._end_call(call.stream_id, None, "the handler returned")
         self.flush()
--- a/dunlinlug/net/grpc_server.py
+++ b/dunlinlug/net/grpc_server.py
@@ -9,6 +9,7 @@
 from dunlinlug import rpc
 from dunlinlug.net import tls
 from dunlinlug.net.grpc import Call, GrpcConnection
+from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable
 
 
 @dataclass(frozen=True)
@@ -24,6 +25,11 @@
         get_tls_context: Returns the context for a connection accepted now, so that keys can change
             while streams are open; None for plain text.
         on_unauthenticated: Called with the reason why TLS rejected a peer.
+        max_connections: Open connections.
+        max_new_connections: Those among them whose peer has sent no valid message yet.
+        max_new_bytes: Bytes received on a connection until its peer has sent a valid message.
+        max_message_size: Bytes of one received message.
+        max_received_bytes: Bytes of incomplete and of unhandled messages of all connections.
     """
 
     first_call_timeout: float = 10.0
@@ -31,6 +37,11 @@
     on_error: Callable[[Exception], None] | None = None
     get_tls_context: Callable[[], ssl.SSLContext | None] = lambda: None
     on_unauthenticated: Callable[[str], None] | None = None
+    max_connections: int = 2048
+    max_new_connections: int = 1024
+    max_new_bytes: int = 2**18
+    max_message_size: int = 2**21
+    max_received_bytes: int = 2**25
 
 
 async def serve(
@@ -49,27 +60,59 @@
     def __init__(self, handler: Callable[[Call], Awaitable[None]], options: ServerOptions) -> None:
         self.handler = handler
         self.options = options
+        self.connections = ConnectionTable[trio.CancelScope](
+            options.max_connections, options.max_new_connections
+        )
+        self.received = ByteBudget[GrpcConnection](options.max_received_bytes)
 
     async def serve_socket(self, socket: trio.SocketStream) -> None:
-        """Serve one connection until it ends."""
+        """Serve one connection until it ends; another one may be closed for it."""
+        with trio.CancelScope() as scope:
+            surplus = self.connections.add(scope)
+            if surplus is not None:
+                surplus.cancel()
+            try:
+                await self._serve_accepted(socket, scope)
+            finally:
+                self.connections.remove(scope)
+                await trio.aclose_forcefully(socket)
+
+    async def _serve_accepted(self, socket: trio.SocketStream, scope: trio.CancelScope) -> None:
         try:
             context = self.options.get_tls_context()
             if context is None:
-                await self._serve_connection(socket)
+                await self._serve_connection(socket, scope)
             else:
-                await self._serve_tls(socket, context)
+                await self._serve_tls(socket, scope, context)
         except Exception as error:  # any kind: an error of one connection must not end the others
             if self.options.on_error is None:
                 raise
             self.options.on_error(error)
 
-    async def _serve_connection(self, stream: trio.abc.Stream, identity: str = "") -> None:
-        connection = GrpcConnection(stream, rpc.Connection(is_client=False), identity)
-        await connection.run(
-            self.handler, self.options.first_call_timeout, self.options.idle_timeout
-        )
-
-    async def _serve_tls(self, socket: trio.SocketStream, context: ssl.SSLContext) -> None:
+    async def _serve_connection(
+        self, stream: trio.abc.Stream, scope: trio.CancelScope, identity: str = ""
+    ) -> None:
+        protocol = rpc.Connection(is_client=False, max_message_size=self.options.max_message_size)
+        connection = GrpcConnection(stream, protocol, identity)
+        connection.new_bytes_left = self.options.max_new_bytes
+        connection.on_received = self._count_received
+        connection.on_established = lambda _connection: self.connections.establish(scope)
+        try:
+            await connection.run(
+                self.handler, self.options.first_call_timeout, self.options.idle_timeout
+            )
+        finally:
+            self.received.set_bytes(connection, 0)
+
+    def _count_received(self, connection: GrpcConnection, byte_count: int) -> None:
+        """Count the bytes that a connection holds, and end the largest ones."""
+        self.received.set_bytes(connection, byte_count)
+        while (largest := self.received.take_largest()) is not None:
+            largest.abort()
+
+    async def _serve_tls(
+        self, socket: trio.SocketStream, scope: trio.CancelScope, context: ssl.SSLContext
+    ) -> None:
         stream = trio.SSLStream(socket, context, server_side=True, https_compatible=True)
         try:
             with trio.fail_after(self.options.first_call_timeout):
@@ -81,9 +124,9 @@
         identity = tls.peer_identity(stream)
         # TLS checks the expiry only at the handshake, but streams stay open for long, so the
         # connection is closed when the certificate expires.
-        with trio.move_on_after(max(tls.remaining_validity(stream), 0.0)) as scope:
-            await self._serve_connection(stream, identity)
-        if scope.cancelled_caught:
+        with trio.move_on_after(max(tls.remaining_validity(stream), 0.0)) as validity_scope:
+            await self._serve_connection(stream, scope, identity)
+        if validity_scope.cancelled_caught:
             self._report_unauthenticated(f"the certificate of {identity} has expired")
 
     def _report_unauthenticated(self, reason: str) -> None:
--- a/dunlinlug/rpc/connection.py
+++ b/dunlinlug/rpc/connection.py
@@ -32,6 +32,7 @@
 
 # Maximum bytes of one message: about ten times the largest table of a fleet of a thousand workers.
 MAX_MESSAGE_SIZE = 16 * 2**20
+MAX_HEADER_BLOCK_BYTES = 2**16  # encoded, in all of its frames
 INITIAL_WINDOW_SIZE = 2**20  # bytes; the receive window of each call
 MAX_STATUS_DIGITS = 2  # of a gRPC status code; the highest is 16
 PING_PAYLOAD = b"dunlinlu"  # HTTP/2 requires eight bytes
@@ -140,6 +141,17 @@
             return 0
         return call.queued_bytes
 
+    def discard_received(self) -> None:
+        """Drop the incomplete messages of a connection that is being closed."""
+        for call in self.calls.values():
+            call.deframer.buffer = bytearray()
+
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of incomplete messages and header blocks."""
+        return self.frame_lengths.open_block_bytes() + sum(
+            len(call.deframer.buffer) for call in self.calls.values()
+        )
+
     def finish(self, stream_id: int, status: Status, text: str = "") -> None:
         """End a call with a status (server side), after the queued data."""
         call = self.calls.get(stream_id)
@@ -243,6 +255,9 @@
         """
         max_length = self.h2.max_inbound_frame_size
         length = self.frame_lengths.longest(data)
+        if self.frame_lengths.header_block_bytes > MAX_HEADER_BLOCK_BYTES:
+            self.h2.close_connection(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
+            raise h2.exceptions.DenialOfServiceError("a header block is too large")
         if length > max_length:
             self.h2.close_connection(h2.errors.ErrorCodes.FRAME_SIZE_ERROR)
             raise h2.exceptions.FrameTooLargeError(
--- a/tests/race_conditions/hostile_clients.py
+++ b/tests/race_conditions/hostile_clients.py
@@ -5,6 +5,7 @@
 The attacks run in a process of their own, so that they do not slow a test's well-behaved client.
 """
 
+import struct
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -12,6 +13,11 @@
 from pathlib import Path
 
 import trio
+from h2.connection import H2Connection
+
+from dunlinlug import rpc
+from dunlinlug.net.grpc import GrpcConnection
+from dunlinlug.xds import names
 
 ROOT = Path(__file__).parents[2]
 MIB = 2**20
@@ -38,8 +44,94 @@
         await trio.sleep(0.1)
 
 
+async def half_of_a_put(stream: trio.SocketStream) -> None:
+    """Half of a body of 8 MiB, without a token."""
+    await stream.send_all(
+        b"PUT /pins HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % (8 * MIB)
+    )
+    for _ in range(64):
+        await stream.send_all(b" " * 65536)
+
+
+async def head_of_short_fields(stream: trio.SocketStream) -> None:
+    await stream.send_all(b"GET /health HTTP/1.1\r\nhost: a\r\n")
+    for n in range(12_000):
+        await stream.send_all(b"a:%d\r\n" % (n % 10))
+
+
+def start_call(h2: H2Connection, stream_id: int) -> None:
+    h2.send_headers(
+        stream_id,
+        [
+            (":method", "POST"),
+            (":scheme", "http"),
+            (":path", names.DELTA_ADS_METHOD),
+            (":authority", "a"),
+            ("content-type", "application/grpc"),
+        ],
+    )
+
+
+async def half_of_a_message(stream: trio.SocketStream) -> None:
+    """A message of 15 MiB on one call, within the windows, without its last byte."""
+    link = GrpcConnection(stream, rpc.Connection(is_client=True))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        call = link.start_call(names.DELTA_ADS_METHOD)
+        queue = link.protocol.calls[call.stream_id].queue
+        queue.append(memoryview(struct.pack(">BI", 0, 15 * MIB) + b"a" * (15 * MIB - 1)))
+        await trio.sleep_forever()
+
+
+async def small_halves(stream: trio.SocketStream) -> None:
+    """Halves of messages of 1 MiB on 100 calls, within the windows."""
+    link = GrpcConnection(stream, rpc.Connection(is_client=True))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        for _ in range(100):
+            call = link.start_call(names.LRS_METHOD)
+            queue = link.protocol.calls[call.stream_id].queue
+            queue.append(memoryview(struct.pack(">BI", 0, MIB) + b"a" * (MIB // 2)))
+        await trio.sleep_forever()
+
+
+async def bytes_without_regard_to_windows(stream: trio.SocketStream) -> None:
+    h2 = H2Connection()
+    h2.initiate_connection()
+    start_call(h2, 1)
+    await stream.send_all(h2.data_to_send())
+    payload = b"\0" + struct.pack(">I", MIB) + b"a" * 16379
+    frame = struct.pack(">I", len(payload) << 8) + b"\0" + struct.pack(">I", 1) + payload
+    for _ in range(200):
+        await stream.send_all(frame)
+
+
+async def unfinished_header_block(stream: trio.SocketStream) -> None:
+    """HEADERS, then CONTINUATION frames of 16 KiB without end."""
+    h2 = H2Connection()
+    h2.initiate_connection()
+    await stream.send_all(h2.data_to_send())
+    fields = b"\x00\x01a\x011" * 3200
+    await stream.send_all(struct.pack(">I", len(fields) << 8 | 1) + b"\0" + struct.pack(">I", 1))
+    await stream.send_all(fields)
+    while True:
+        frame = struct.pack(">I", len(fields) << 8 | 9) + b"\0" + struct.pack(">I", 1) + fields
+        await stream.send_all(frame)
+
+
 ATTACKS: dict[str, Attack] = {
-    attack.__name__: attack for attack in (message_without_end, hello_of_short_fields, slow_hello)
+    attack.__name__: attack
+    for attack in (
+        message_without_end,
+        hello_of_short_fields,
+        slow_hello,
+        half_of_a_put,
+        head_of_short_fields,
+        half_of_a_message,
+        small_halves,
+        bytes_without_regard_to_windows,
+        unfinished_header_block,
+    )
 }
 
 
