Requests of a client that has closed its connection or reset its call have no effect

Here: pipelined PUT requests at the administration endpoint and at the stand-ins, which share the server; messages of a gRPC call that was reset, up to 256 of them; and on a manager that does not lead each call that was opened and reset left a task that waits for leadership.

Cause: the server answered whatever had been received and looked at the peer only when it wrote. A reset closed the queue of a call for new messages but left the queued ones to the handler.

Change: before a request is executed the socket is polled. One whose client has closed both sides or reset the connection is dropped, and so is one whose client has closed its side with further requests unread; a single request followed by a half-close is answered as before. A reset call hands out no further message, and its handler is stopped if it has not accepted it.

Looked for elsewhere: on the platform what a closed connection has sent are reports and answers, facts that stay true; its unsent output is dropped. A closed gRPC connection cancels its handlers.

--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -38,6 +38,8 @@
 
     Attributes:
         ended: Status and reason once the call has ended, else None.
+        accepted: Whether the response headers were sent (server side).
+        is_reset: Whether the peer has reset the call; its unhandled messages then have no effect.
         headers_received: Set once the response headers are received (client side) or the call ends.
         scope: Cancel it to stop the task that serves the call.
         pending_bytes: Bytes of the received messages that are not yet handled.
@@ -51,6 +53,8 @@
             MAX_PENDING_MESSAGES
         )
         self.ended: CallEndedError | None = None
+        self.is_reset = False
+        self.accepted = False
         self.headers_received = trio.Event()
         self.scope = trio.CancelScope()
         self.pending_bytes = 0
@@ -59,8 +63,11 @@
         """Return the next message.
 
         Raises:
-            CallEndedError: The call has ended and there are no more messages.
+            CallEndedError: The call has ended and there are no more messages, or the peer has
+                reset the call and waits for no answer.
         """
+        if self.is_reset and self.ended is not None:
+            raise self.ended
         try:
             message = await self.message_receiver.receive()
         except trio.EndOfChannel:
@@ -78,8 +85,18 @@
         if not buffered:
             self.connection.flush()
 
+    def reset(self) -> None:
+        """Let the peer's unhandled messages have no effect, as it has reset the call (server side).
+
+        A handler that has not accepted the call may wait for long, and is stopped.
+        """
+        self.is_reset = True
+        if not self.accepted:
+            self.scope.cancel()
+
     def accept(self) -> None:
         """Send the response headers (server side)."""
+        self.accepted = True
         self.connection.protocol.accept(self.stream_id)
         self.connection.flush()
 
@@ -302,6 +319,8 @@
             case rpc.HalfClosed(stream_id):
                 self._end_call(stream_id, None, "the peer ended the call")
             case rpc.CallReset(stream_id, reason):
+                if handler is not None and stream_id in self.calls:
+                    self.calls[stream_id].reset()
                 self._end_call(stream_id, None, reason)
             case rpc.TrailersReceived(stream_id, status, text):
                 self._end_call(stream_id, status, text)
--- a/dunlinlug/net/http_server.py
+++ b/dunlinlug/net/http_server.py
@@ -1,5 +1,8 @@
 """An HTTP/1.1 server on trio and h11, with limits on what all its clients use together."""
 
+import fcntl
+import select
+import termios
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from math import inf
@@ -23,6 +26,10 @@
 # that are read and dropped meanwhile.
 ERROR_LINGER_S = 0.2
 MAX_DISCARDED_BYTES = 2**17
+# Poll events of a peer that has closed its side, of Linux where the system has it, and of one that
+# has closed both sides or reset the connection.
+PEER_FINISHED = getattr(select, "POLLRDHUP", 0)
+PEER_GONE = select.POLLHUP | select.POLLERR
 
 Handler = Callable[[Request], Awaitable[Response]]
 # Returns the response to a request that is rejected by its headers, before its body is received.
@@ -157,7 +164,7 @@
         try:
             while True:
                 request = await self._receive()
-                if request is None:
+                if request is None or self._is_abandoned():
                     return
                 await self._answer(request)
                 if self.protocol.our_state is h11.MUST_CLOSE:
@@ -222,6 +229,25 @@
             if len(body) > self.server.options.limits.max_body_size:
                 raise h11.RemoteProtocolError("the body is over the bound", error_status_hint=413)
 
+    def _is_abandoned(self) -> bool:
+        """Whether the client has gone, so that its request must have no effect any more.
+
+        A client may close its side after its last request and still read the response. One that has
+        closed it with further requests unread waits for none of the responses.
+        """
+        poll = select.poll()
+        poll.register(self.stream.socket, PEER_GONE | PEER_FINISHED)
+        found = poll.poll(0)
+        events = found[0][1] if found else 0
+        if events & PEER_GONE:
+            return True
+        has_further_requests = bool(self.protocol.trailing_data[0]) or self._has_unread_bytes()
+        return bool(events & PEER_FINISHED) and has_further_requests
+
+    def _has_unread_bytes(self) -> bool:
+        unread = fcntl.ioctl(self.stream.socket.fileno(), termios.FIONREAD, bytes(4))
+        return any(unread)
+
     async def _answer(self, request: Request) -> None:
         async def exchange() -> None:
             response = await self.server.handler(request)
