Ever new node names use up neither proxy numbers nor memory

Each name was kept for the manager's lifetime, twice while there are no followers, and after 65,535 of them every further proxy was refused with "no room for more proxies": at 300 names a second after less than four minutes.

A proxy that returns keeps its number, as before, while it is among the last ones.

There was no bound to test on but the refusal.

--- a/dunlinlug/ads/service.py
+++ b/dunlinlug/ads/service.py
@@ -17,6 +17,7 @@
 from dunlinlug.ads.stream_host import require_identity
 from dunlinlug.decision.events import Event, ProxyConnected, ProxyDisconnected
 from dunlinlug.manager.decision_loop import DecisionLoop
+from dunlinlug.manager.proxy_numbers import NoProxyNumberError, merge_numbers, number_of
 from dunlinlug.manager.report_aggregator import ReportAggregator
 from dunlinlug.net.grpc import Call
 from dunlinlug.rpc import Status
@@ -24,16 +25,15 @@
 from dunlinlug.xds.state_of_the_world import StateOfTheWorldStream
 from dunlinlug.xds.stream import DeltaStream, StreamProtocolError
 
-# Maximum number of node names over a manager's lifetime; the decision module's proxy ids are lower.
-MAX_PROXIES = 65535
 Stream = DeltaStream | StateOfTheWorldStream
 
 
 class XdsService:
-    """Serves proxies' calls; a node name keeps its proxy number for the process's lifetime.
+    """Serves proxies' calls; a node name keeps its proxy number while it is among the last ones.
 
     Attributes:
-        proxy_numbers: Proxy number by node name, for all nodes that ever connected.
+        proxy_numbers: Proxy number by node name, of the nodes that connected last; see
+            `manager/proxy_numbers.py`.
         new_proxy_numbers: Numbers assigned since the last replication to followers.
         sessions: The open sessions by proxy number.
         leading: Not set while another manager leads; calls wait for it.
@@ -105,7 +105,7 @@
 
         Raises:
             IdentityConflictError: `identity`, from the peer's certificate, is another name.
-            StreamProtocolError: The maximum number of nodes is reached.
+            StreamProtocolError: All proxy numbers belong to connected nodes.
         """
         require_identity(stream.node_id, identity)
         if stream.reported_term > self.term:
@@ -116,18 +116,20 @@
         if self._on_higher_term is not None:
             self._on_higher_term(term)
 
-    def _assign_number(self, node_id: str) -> None:
-        if node_id in self.proxy_numbers:
-            return
-        if len(self.proxy_numbers) >= MAX_PROXIES:
-            raise StreamProtocolError("no room for more proxies")
-        number = len(self.proxy_numbers)
-        self.proxy_numbers[node_id] = number
-        self.new_proxy_numbers[node_id] = number
+    def _assign_number(self, node_id: str) -> int:
+        """Return a node's proxy number; raises StreamProtocolError if there is none left."""
+        is_known = node_id in self.proxy_numbers
+        try:
+            number = number_of(self.proxy_numbers, node_id, self.sessions)
+        except NoProxyNumberError:
+            raise StreamProtocolError("no room for more proxies") from None
+        if not is_known:
+            merge_numbers(self.new_proxy_numbers, {node_id: number})
+        return number
 
     def open_delta_session(self, call: Call, stream: DeltaStream) -> DeltaSession:
         """Open a proxy's session, replacing an earlier session of the same node."""
-        proxy = self.proxy_numbers[stream.node_id]
+        proxy = self._assign_number(stream.node_id)
         now = trio.current_time()
         self._end_previous_session(proxy)
         session = DeltaSession(proxy, call, stream, now, self._session_callbacks())
@@ -141,7 +143,7 @@
         calls_by_type: dict[str, Call] | None = None,
     ) -> StateOfTheWorldSession:
         """As `open_delta_session`; `calls_by_type` is for clients with a stream for each type."""
-        proxy = self.proxy_numbers[stream.node_id]
+        proxy = self._assign_number(stream.node_id)
         now = trio.current_time()
         self._end_previous_session(proxy)
         session = StateOfTheWorldSession(
--- a/dunlinlug/fleet/election/interfaces.py
+++ b/dunlinlug/fleet/election/interfaces.py
@@ -34,7 +34,7 @@
         control_plane_id: Identifies this member and its term to proxies.
         term: The term in which we lead.
         leading: Set while we lead; calls from proxies wait for it.
-        proxy_numbers: Numbers of all proxies ever seen, by name.
+        proxy_numbers: Numbers of the proxies that connected last, by name.
         new_proxy_numbers: Those of them that are not in a replicated batch yet.
         sessions: Sessions of the connected proxies, by number.
     """
--- a/dunlinlug/fleet/election/replica.py
+++ b/dunlinlug/fleet/election/replica.py
@@ -11,6 +11,7 @@
 from dunlinlug.fleet.election.interfaces import ProxyService, ReplicableState
 from dunlinlug.fleet.election.replicated_state import OverrideRecord
 from dunlinlug.manager.decision_loop import DecisionLoop
+from dunlinlug.manager.proxy_numbers import merge_numbers
 from dunlinlug.storage.store import Store
 
 
@@ -92,7 +93,7 @@
     def apply(self, entry: bytes) -> None:
         """Replays a batch of the leader in our module. Raises SerializationError."""
         batch = replicated_state.deserialize_batch(entry)
-        self.proxy_service.proxy_numbers.update(batch.new_proxy_numbers)
+        merge_numbers(self.proxy_service.proxy_numbers, batch.new_proxy_numbers)
         if batch.overrides is not None:
             self.replace_overrides(batch.overrides)
         self.decision_loop.replay_batch(batch.now, batch.events, batch.rejected_indexes)
--- a/dunlinlug/fleet/election/replicated_state.py
+++ b/dunlinlug/fleet/election/replicated_state.py
@@ -50,7 +50,7 @@
         tables: Installed tables by number.
         ejected: Names of the ejected workers.
         zones: Zones of proxies by proxy name.
-        proxy_numbers: Numbers of all proxies ever seen, by name.
+        proxy_numbers: Numbers of the proxies that connected last, by name.
         timers: The module's timers, a heap of due time and timer token.
         endpoint_list: The last endpoint list from service discovery, as stored; empty if none.
         overrides: All operator overrides in force as plain records.
