xDS manager: clients at full speed hold back no other proxy's drains

Cause: all connections share one loop. Each may open calls without limit, and a call costs a task and log lines; one connection may join under any number of names, and a join costs a decision and its tables; connections that never send a valid message get as many turns as proxies do; 4 MiB of answers were kept for each peer that does not read.

Change: peers without a valid message share turns, which together take at most half of the time, and are read 4 KiB at a time, 64 KiB in all. A connection serves one node name and opens at most 200 calls a second. Nodes that are not known join in a burst of 512, then 25 a second. Answers that nobody reads: 1 MiB each, 64 MiB in sum.

--- a/dunlinlug/ads/aggregated_stream.py
+++ b/dunlinlug/ads/aggregated_stream.py
@@ -32,7 +32,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 while True:
-                    self._handle_request(await self.call.receive(), nursery)
+                    await self._handle_request(await self.call.receive(), nursery)
         except* IdentityConflictError as errors:
             self._finish(Status.PERMISSION_DENIED, str(errors.exceptions[0]))
         except* StreamProtocolError as errors:
@@ -48,10 +48,10 @@
             if self.session is not None:
                 self.host.close_session(self.session)
 
-    def _handle_request(self, data: bytes, nursery: trio.Nursery) -> None:
+    async def _handle_request(self, data: bytes, nursery: trio.Nursery) -> None:
         for message in self.stream.receive(data):
             if isinstance(message, NodeIdentified):
-                self.host.register_node(self.stream, self.call.connection.identity)
+                await self.host.register_node(self.stream, self.call)
             elif self.session is not None:
                 self.session.handle_answer(message, trio.current_time())
         if self.session is None and self.stream.is_ready():
--- a/dunlinlug/ads/service.py
+++ b/dunlinlug/ads/service.py
@@ -20,11 +20,16 @@
 from dunlinlug.manager.proxy_numbers import NoProxyNumberError, merge_numbers, number_of
 from dunlinlug.manager.report_aggregator import ReportAggregator
 from dunlinlug.net.grpc import Call
+from dunlinlug.net.peer_limits import TokenBucket
 from dunlinlug.rpc import Status
 from dunlinlug.xds import load_reports, names
 from dunlinlug.xds.state_of_the_world import StateOfTheWorldStream
 from dunlinlug.xds.stream import DeltaStream, StreamProtocolError
 
+# Nodes that are not known may join in such a burst, which is a fleet that starts, and then at this
+# rate. A join costs some milliseconds, and drains must not wait for those of ever new names.
+MAX_NEW_NODES_AT_ONCE = 512
+NEW_NODES_PER_SECOND = 25.0
 Stream = DeltaStream | StateOfTheWorldStream
 
 
@@ -56,6 +61,7 @@
         self.log_event = log_event
         self.proxy_numbers: dict[str, int] = {}
         self.new_proxy_numbers: dict[str, int] = {}
+        self.new_nodes = TokenBucket(MAX_NEW_NODES_AT_ONCE, NEW_NODES_PER_SECOND)
         self.split_streams = SplitStreams(self)
         self.leading = trio.Event()
         self.leading.set()
@@ -100,14 +106,18 @@
             )
             call.finish(Status.UNIMPLEMENTED, f"{call.path} is not served; served are {served}")
 
-    def register_node(self, stream: Stream, identity: str) -> None:
+    async def register_node(self, stream: Stream, call: Call) -> None:
         """Check the node name in a stream's first request, and assign the node a number.
 
+        Waits if very many nodes that are not known have come.
+
         Raises:
-            IdentityConflictError: `identity`, from the peer's certificate, is another name.
+            IdentityConflictError: The peer has another name, as in `require_identity`.
             StreamProtocolError: All proxy numbers belong to connected nodes.
         """
-        require_identity(stream.node_id, identity)
+        require_identity(stream.node_id, call.connection)
+        if stream.node_id not in self.proxy_numbers:
+            await trio.sleep(self.new_nodes.reserve(trio.current_time()))
         if stream.reported_term > self.term:
             self._notify_higher_term(stream.reported_term)
         self._assign_number(stream.node_id)
--- a/dunlinlug/ads/split_streams.py
+++ b/dunlinlug/ads/split_streams.py
@@ -43,7 +43,7 @@
                 while True:
                     data = await call.receive()
                     if client is None:
-                        client = self._join_client(data, call, type_url)
+                        client = await self._join_client(data, call, type_url)
                     self._handle_request(client, data, call, type_url, nursery)
         except* (StreamProtocolError, IdentityConflictError) as errors:
             reason = str(errors.exceptions[0])
@@ -77,7 +77,7 @@
             )
             nursery.start_soon(client.session.run_sender)
 
-    def _join_client(self, data: bytes, call: Call, type_url: str) -> SplitStreamClient:
+    async def _join_client(self, data: bytes, call: Call, type_url: str) -> SplitStreamClient:
         """Add this call to the client whose node is named in the first request.
 
         Raises:
@@ -88,13 +88,15 @@
         first_stream = StateOfTheWorldStream()
         first_stream.receive(data, type_url)
         node_id = first_stream.node_id
+        if node_id in self.clients:
+            require_identity(node_id, call.connection)
+        else:
+            await self.host.register_node(first_stream, call)
+        # Another stream of the node may have come while this one waited.
         client = self.clients.get(node_id)
         if client is None:
-            self.host.register_node(first_stream, call.connection.identity)
             client = SplitStreamClient(self._shared_stream(first_stream))
             self.clients[node_id] = client
-        else:
-            require_identity(node_id, call.connection.identity)
         client.stream.close_type(type_url)
         client.calls[type_url] = call
         return client
--- a/dunlinlug/ads/stream_host.py
+++ b/dunlinlug/ads/stream_host.py
@@ -8,7 +8,7 @@
 from dunlinlug.ads.session import DeltaSession
 from dunlinlug.ads.state_of_the_world_session import StateOfTheWorldSession
 from dunlinlug.errors import DunlinlugError
-from dunlinlug.net.grpc import Call
+from dunlinlug.net.grpc import Call, GrpcConnection
 from dunlinlug.xds.state_of_the_world import StateOfTheWorldStream
 from dunlinlug.xds.stream import DeltaStream
 
@@ -30,12 +30,14 @@
     control_plane_id: str
     log_event: Callable[..., None]
 
-    def register_node(self, stream: DeltaStream | StateOfTheWorldStream, identity: str) -> None:
+    async def register_node(self, stream: DeltaStream | StateOfTheWorldStream, call: Call) -> None:
         """Check the node name in a stream's first request, and assign the node a number.
 
+        Waits if very many nodes that are not known have come.
+
         Raises:
-            IdentityConflictError: `identity`, from the peer's certificate, is another name.
-            StreamProtocolError: The maximum number of nodes is reached.
+            IdentityConflictError: The peer has another name, as in `require_identity`.
+            StreamProtocolError: All proxy numbers belong to connected nodes.
         """
 
     def open_delta_session(self, call: Call, stream: DeltaStream) -> DeltaSession:
@@ -53,11 +55,17 @@
         """Remove a session if it is still its proxy's current one."""
 
 
-def require_identity(node_id: str, identity: str) -> None:
-    """Check a node's name against its certificate; an empty identity (no TLS) matches any name.
+def require_identity(node_id: str, connection: GrpcConnection) -> None:
+    """Check a node's name against its connection's certificate and its earlier calls.
+
+    An empty identity (no TLS) matches any name, but only one on each connection.
 
     Raises:
-        IdentityConflictError: The certificate names another node.
+        IdentityConflictError: The certificate or an earlier call names another node.
     """
+    identity = connection.identity
     if identity not in ("", node_id):
         raise IdentityConflictError(f"{node_id} is not who its certificate names: {identity}")
+    if connection.node_id not in ("", node_id):
+        raise IdentityConflictError(f"{node_id} is on the connection of {connection.node_id}")
+    connection.node_id = node_id
--- a/dunlinlug/fleet/connections.py
+++ b/dunlinlug/fleet/connections.py
@@ -30,26 +30,6 @@
         self.open -= 1
 
 
-class RateLimit:
-    """Limits the number of events in each window of one second.
-
-    A window opens with the first event after the previous window.
-    """
-
-    def __init__(self, maximum_per_second: int) -> None:
-        self.maximum_per_second = maximum_per_second
-        self.window_start = 0.0
-        self.window_count = 0
-
-    def allows(self, now: float) -> bool:
-        """Counts one event; returns false above the maximum. A clock set back opens a window."""
-        if now - self.window_start >= 1.0 or now < self.window_start:
-            self.window_start = now
-            self.window_count = 0
-        self.window_count += 1
-        return self.window_count <= self.maximum_per_second
-
-
 class RateLimitedLog:
     """Writes a log event at most once per interval; occurrences in between are dropped."""
 
--- a/dunlinlug/fleet/membership/transport.py
+++ b/dunlinlug/fleet/membership/transport.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from dunlinlug.fleet.connections import ConnectionHandler, RateLimit, RateLimitedLog
+from dunlinlug.fleet.connections import ConnectionHandler, RateLimitedLog
 from dunlinlug.fleet.membership import codec
 from dunlinlug.fleet.membership.messages import (
     Broadcast,
@@ -24,6 +24,7 @@
 from dunlinlug.fleet.membership.protocol import MembershipProtocol
 from dunlinlug.fleet.membership.streams import MembershipStreams
 from dunlinlug.fleet.sealing import AuthenticationError, RejectReason
+from dunlinlug.net.peer_limits import RateLimit
 
 SESSION_ID_BYTES = 8
 MAX_DATAGRAMS_PER_BATCH = 256  # datagrams read before timers are checked
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -13,15 +13,19 @@
 
 from dunlinlug import rpc
 from dunlinlug.errors import DunlinlugError
+from dunlinlug.net.peer_limits import RateLimit
 
 # Maximum bytes of one read. Many small calls fit in it, and others wait while it is handled.
 READ_SIZE = 2**14
+NEW_READ_SIZE = 2**12  # the same of a peer without a valid message
 # Maximum received messages of a call that are not yet handled; a call that exceeds it is ended.
 MAX_PENDING_MESSAGES = 256
+# Calls that a peer may open; a proxy has a few, and opens them anew when the leader changes.
+MAX_CALLS_PER_SECOND = 200
 # Seconds for finishing a write and sending GOAWAY on close; a peer that does not read gets neither.
 CLOSE_TIMEOUT = 0.5
 # Unwritten bytes above which reading pauses, until the peer has read its responses.
-MAX_UNWRITTEN_BYTES = 2**22
+MAX_UNWRITTEN_BYTES = 2**20
 
 
 class CallEndedError(DunlinlugError):
@@ -129,7 +133,7 @@
         self.message_sender.close()
 
 
-def _ignore_received(_connection: "GrpcConnection", _byte_count: int) -> None:
+def _ignore_bytes(_connection: "GrpcConnection", _byte_count: int) -> None:
     return None
 
 
@@ -137,11 +141,27 @@
     return None
 
 
+class SharedTurn:
+    """Limits the time that a group of tasks works to half of the process's, in order of arrival."""
+
+    def __init__(self) -> None:
+        self.lock = trio.Lock()
+
+    @asynccontextmanager
+    async def turn(self) -> AsyncIterator[None]:
+        """Work inside the block, without waiting; the next turn begins after as long a pause."""
+        async with self.lock:
+            started_at = trio.current_time()
+            yield
+            await trio.sleep(trio.current_time() - started_at)
+
+
 class GrpcConnection:
     """A socket with its protocol state and its calls by stream id.
 
     Attributes:
         identity: The peer's name in its certificate; empty without TLS.
+        node_id: The name that the peer gave itself first; empty until then.
         served_calls: Calls whose handlers run (server side); the peer may have ended them.
         outgoing: Bytes taken from the protocol and not yet written, `unwritten_bytes` in total.
         last_received_at: When the last byte was received (trio's clock).
@@ -149,8 +169,10 @@
         scope: Cancel it to close the connection.
         established: Whether the peer has sent a valid message (server side).
         new_bytes_left: Bytes that it may send until then.
+        new_work: Limits the work for peers without a valid message, all together.
         on_received: Called with the bytes that are held of incomplete and of unhandled messages
             whenever their number has changed.
+        on_unwritten: Called with `unwritten_bytes` whenever it has changed.
         on_established: Called when the peer has sent a valid message.
     """
 
@@ -160,6 +182,7 @@
         self.socket = socket
         self.protocol = protocol
         self.identity = identity
+        self.node_id = ""
         self.calls: dict[int, Call] = {}
         self.served_calls = set[Call]()
         self.write_requested = trio.Event()
@@ -172,9 +195,12 @@
         self.write_interrupted = False
         self.close_deadline = inf
         self.scope = trio.CancelScope()
+        self.call_rate = RateLimit(MAX_CALLS_PER_SECOND)
         self.established = False
         self.new_bytes_left = inf
-        self.on_received: Callable[[GrpcConnection, int], None] = _ignore_received
+        self.new_work: SharedTurn | None = None
+        self.on_received: Callable[[GrpcConnection, int], None] = _ignore_bytes
+        self.on_unwritten: Callable[[GrpcConnection, int], None] = _ignore_bytes
         self.on_established: Callable[[GrpcConnection], None] = _ignore_established
 
     def count_received(self) -> None:
@@ -189,6 +215,7 @@
         garbage collection.
         """
         self.protocol.discard_received()
+        self.close_deadline = trio.current_time()
         self.scope.cancel()
 
     def establish(self) -> None:
@@ -205,6 +232,7 @@
             self.outgoing.append(data)
             self.unwritten_bytes += len(data)
             self.write_requested.set()
+            self.on_unwritten(self, self.unwritten_bytes)
 
     def _write_now(self, data: bytes) -> int:
         """Write as much as the socket accepts without blocking; returns the number of bytes.
@@ -282,7 +310,7 @@
             if self.resume_reading is not None:
                 await self.resume_reading.wait()
             try:
-                data = await self.socket.receive_some(READ_SIZE)
+                data = await self.socket.receive_some(self._read_size())
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
             if not data:
@@ -290,10 +318,25 @@
             self.last_received_at = trio.current_time()
             if not self._admits(len(data)):
                 return
-            for event in self.protocol.receive(bytes(data)):
-                self._handle_event(event, nursery, handler)
-            self.count_received()
-            self.flush()
+            if self.established or self.new_work is None:
+                self._handle_received(bytes(data), nursery, handler)
+            else:
+                async with self.new_work.turn():
+                    self._handle_received(bytes(data), nursery, handler)
+
+    def _handle_received(
+        self,
+        data: bytes,
+        nursery: trio.Nursery,
+        handler: Callable[[Call], Awaitable[None]] | None,
+    ) -> None:
+        for event in self.protocol.receive(data):
+            self._handle_event(event, nursery, handler)
+        self.count_received()
+        self.flush()
+
+    def _read_size(self) -> int:
+        return READ_SIZE if self.established or self.new_work is None else NEW_READ_SIZE
 
     def _admits(self, byte_count: int) -> bool:
         """Count received bytes; whether a peer without a valid message may send so many."""
@@ -308,10 +351,7 @@
     ) -> None:
         match event:
             case rpc.CallStarted(stream_id, path) if handler is not None:
-                call = Call(self, stream_id, path)
-                self.calls[stream_id] = call
-                self.served_calls.add(call)
-                nursery.start_soon(self._serve_call, call, handler)
+                self._handle_call(Call(self, stream_id, path), nursery, handler)
             case rpc.MessageReceived(stream_id, data) if stream_id in self.calls:
                 self._handle_message(self.calls[stream_id], data)
             case rpc.HeadersReceived(stream_id) if stream_id in self.calls:
@@ -328,6 +368,17 @@
                 for stream_id in list(self.calls):
                     self._end_call(stream_id, None, reason)
 
+    def _handle_call(
+        self, call: Call, nursery: trio.Nursery, handler: Callable[[Call], Awaitable[None]]
+    ) -> None:
+        """Serve a call; a peer that opens too many is disconnected."""
+        if not self.call_rate.allows(trio.current_time()):
+            nursery.cancel_scope.cancel()
+            return
+        self.calls[call.stream_id] = call
+        self.served_calls.add(call)
+        nursery.start_soon(self._serve_call, call, handler)
+
     def _handle_message(self, call: Call, data: bytes) -> None:
         try:
             call.message_sender.send_nowait(data)
@@ -373,6 +424,7 @@
                 return
             finally:
                 self.unwritten_bytes -= len(data)
+                self.on_unwritten(self, self.unwritten_bytes)
                 self.write_completed.set()
                 self.write_completed = trio.Event()
 
--- a/dunlinlug/net/grpc_server.py
+++ b/dunlinlug/net/grpc_server.py
@@ -8,7 +8,7 @@
 
 from dunlinlug import rpc
 from dunlinlug.net import tls
-from dunlinlug.net.grpc import Call, GrpcConnection
+from dunlinlug.net.grpc import Call, GrpcConnection, SharedTurn
 from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable
 
 
@@ -30,6 +30,7 @@
         max_new_bytes: Bytes received on a connection until its peer has sent a valid message.
         max_message_size: Bytes of one received message.
         max_received_bytes: Bytes of incomplete and of unhandled messages of all connections.
+        max_unwritten_bytes: Bytes that all peers together have not read.
     """
 
     first_call_timeout: float = 10.0
@@ -39,9 +40,10 @@
     on_unauthenticated: Callable[[str], None] | None = None
     max_connections: int = 2048
     max_new_connections: int = 1024
-    max_new_bytes: int = 2**18
+    max_new_bytes: int = 2**16
     max_message_size: int = 2**21
     max_received_bytes: int = 2**25
+    max_unwritten_bytes: int = 2**26
 
 
 async def serve(
@@ -63,7 +65,9 @@
         self.connections = ConnectionTable[trio.CancelScope](
             options.max_connections, options.max_new_connections
         )
+        self.new_work = SharedTurn()
         self.received = ByteBudget[GrpcConnection](options.max_received_bytes)
+        self.unwritten = ByteBudget[GrpcConnection](options.max_unwritten_bytes)
 
     async def serve_socket(self, socket: trio.SocketStream) -> None:
         """Serve one connection until it ends; another one may be closed for it."""
@@ -92,10 +96,15 @@
     async def _serve_connection(
         self, stream: trio.abc.Stream, scope: trio.CancelScope, identity: str = ""
     ) -> None:
-        protocol = rpc.Connection(is_client=False, max_message_size=self.options.max_message_size)
-        connection = GrpcConnection(stream, protocol, identity)
+        async with self.new_work.turn():
+            protocol = rpc.Connection(
+                is_client=False, max_message_size=self.options.max_message_size
+            )
+            connection = GrpcConnection(stream, protocol, identity)
+        connection.new_work = self.new_work
         connection.new_bytes_left = self.options.max_new_bytes
         connection.on_received = self._count_received
+        connection.on_unwritten = self._count_unwritten
         connection.on_established = lambda _connection: self.connections.establish(scope)
         try:
             await connection.run(
@@ -103,6 +112,7 @@
             )
         finally:
             self.received.set_bytes(connection, 0)
+            self.unwritten.set_bytes(connection, 0)
 
     def _count_received(self, connection: GrpcConnection, byte_count: int) -> None:
         """Count the bytes that a connection holds, and end the largest ones."""
@@ -110,6 +120,12 @@
         while (largest := self.received.take_largest()) is not None:
             largest.abort()
 
+    def _count_unwritten(self, connection: GrpcConnection, byte_count: int) -> None:
+        """Count the bytes that a peer has not read, and end the largest ones."""
+        self.unwritten.set_bytes(connection, byte_count)
+        while (largest := self.unwritten.take_largest()) is not None:
+            largest.abort()
+
     async def _serve_tls(
         self, socket: trio.SocketStream, scope: trio.CancelScope, context: ssl.SSLContext
     ) -> None:
--- a/dunlinlug/net/peer_limits.py
+++ b/dunlinlug/net/peer_limits.py
@@ -74,3 +74,39 @@
         """Remove a connection that has ended."""
         self.new_connections.pop(connection, None)
         self.established.discard(connection)
+
+
+class RateLimit:
+    """Limits the number of events in each window of one second.
+
+    A window opens with the first event after the previous window.
+    """
+
+    def __init__(self, maximum_per_second: int) -> None:
+        self.maximum_per_second = maximum_per_second
+        self.window_start = 0.0
+        self.window_count = 0
+
+    def allows(self, now: float) -> bool:
+        """Counts one event; returns false above the maximum. A clock set back opens a window."""
+        if now - self.window_start >= 1.0 or now < self.window_start:
+            self.window_start = now
+            self.window_count = 0
+        self.window_count += 1
+        return self.window_count <= self.maximum_per_second
+
+
+class TokenBucket:
+    """Delays events beyond a burst to a rate; times are seconds on the caller's clock."""
+
+    def __init__(self, burst: int, per_second: float) -> None:
+        self.burst = burst
+        self.per_second = per_second
+        self.next_free_at = 0.0
+
+    def reserve(self, now: float) -> float:
+        """Count one event, and return the seconds after which it may happen."""
+        interval = 1.0 / self.per_second
+        earliest = now - (self.burst - 1) * interval
+        self.next_free_at = max(self.next_free_at, earliest) + interval
+        return max(self.next_free_at - interval - now, 0.0)
--- a/tests/race_conditions/hostile_clients.py
+++ b/tests/race_conditions/hostile_clients.py
@@ -5,6 +5,7 @@
 The attacks run in a process of their own, so that they do not slow a test's well-behaved client.
 """
 
+import itertools
 import struct
 import subprocess
 import sys
@@ -18,6 +19,8 @@
 from dunlinlug import rpc
 from dunlinlug.net.grpc import GrpcConnection
 from dunlinlug.xds import names
+from dunlinlug.xds.load_reports import LoadReport, WorkerStatistics, encode_report
+from dunlinlug.xds.subscriber import DeltaSubscriber, ProxyState
 
 ROOT = Path(__file__).parents[2]
 MIB = 2**20
@@ -119,6 +122,65 @@
         await stream.send_all(frame)
 
 
+async def pings_whose_answers_are_not_read(stream: trio.SocketStream) -> None:
+    h2 = H2Connection()
+    h2.initiate_connection()
+    await stream.send_all(h2.data_to_send())
+    ping = struct.pack(">I", 8 << 8 | 6) + b"\0" * 5 + b"12345678"
+    while True:
+        await stream.send_all(ping * 500)
+
+
+async def calls_that_are_reset(stream: trio.SocketStream) -> None:
+    h2 = H2Connection()
+    h2.initiate_connection()
+    for stream_id in itertools.count(1, 2):
+        start_call(h2, stream_id)
+        h2.reset_stream(stream_id)
+        if stream_id % 100 == 99:
+            await stream.send_all(h2.data_to_send())
+
+
+async def calls_of_ever_new_nodes(stream: trio.SocketStream) -> None:
+    """Subscriptions of one node after the other, on one connection."""
+    link = GrpcConnection(stream, rpc.Connection(is_client=True))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        for n in itertools.count():
+            call = link.start_call(names.DELTA_ADS_METHOD)
+            subscriber = DeltaSubscriber(ProxyState(), f"node {n} of {id(stream)}", "north", {})
+            for request in subscriber.initial_requests():
+                call.send(request)
+            with trio.move_on_after(5):
+                await call.headers_received.wait()
+            if n >= 50:
+                call.cancel()
+
+
+async def sound_reports(stream: trio.SocketStream) -> None:
+    link = GrpcConnection(stream, rpc.Connection(is_client=True))
+    report = LoadReport("p9", "north", 1.0)
+    report.workers = {f"127.0.0.1:{7000 + n}": WorkerStatistics(5, 1, 0.5) for n in range(6)}
+    body = encode_report(report, is_first=True)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        subscriber = DeltaSubscriber(ProxyState(), "p9", "north", {})
+        subscription = link.start_call(names.DELTA_ADS_METHOD)
+        for request in subscriber.initial_requests():
+            subscription.send(request)
+        call = link.start_call(names.LRS_METHOD)
+        while True:
+            for _ in range(50):
+                call.send(body, buffered=True)
+            call.send(body)
+            await trio.sleep(0)
+
+
+async def requests_without_token(stream: trio.SocketStream) -> None:
+    while True:
+        await stream.send_all(b"GET /tables HTTP/1.1\r\nhost: a\r\n\r\n" * 50)
+
+
 ATTACKS: dict[str, Attack] = {
     attack.__name__: attack
     for attack in (
@@ -131,6 +193,11 @@
         small_halves,
         bytes_without_regard_to_windows,
         unfinished_header_block,
+        pings_whose_answers_are_not_read,
+        calls_that_are_reset,
+        calls_of_ever_new_nodes,
+        sound_reports,
+        requests_without_token,
     )
 }
 
