Members' ports: silent and unsigned peers keep no member out

What operators would see: peers that connect to a member's port and stay silent. Sixteen kept all frames of other members out for two seconds, and then the next sixteen; a hundred that send one byte took the 64 places for connections of the logs; at a log's own port each stayed open for good. A frame may have 64 MiB, and is known to be forged only at its end: no sum was kept.

Change: the oldest connection without a signed frame gives way to a new one, at most 16 at each log and 16 at the membership; one that has sent a signed frame gives way to none. Incomplete frames have 16 MiB in sum until a frame was signed and 64 MiB in sum afterwards, the largest ends first.

--- a/dunlinlug/fleet/election/transport.py
+++ b/dunlinlug/fleet/election/transport.py
@@ -7,8 +7,7 @@
 """
 
 import secrets
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
@@ -20,10 +19,21 @@
     receive_exactly,
 )
 from dunlinlug.fleet.election import codec
-from dunlinlug.fleet.election.peer_connection import CONNECT_TIMEOUT, DialTarget, PeerConnection
+from dunlinlug.fleet.election.peer_connection import (
+    CONNECT_TIMEOUT,
+    CONNECTION_ERRORS,
+    DialTarget,
+    PeerConnection,
+)
 from dunlinlug.fleet.sealing import AuthenticationError
+from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable
 
 RECEIVE_BYTES = 2**16
+# Connections of other members, and those among them that have sent no signed frame yet.
+MAX_INCOMING = 1024
+MAX_UNSIGNED_INCOMING = 16
+# Bytes of the incomplete frames of the latter; the snapshot of a large fleet has half as many.
+MAX_UNSIGNED_BYTES = 2**24
 # First byte of a log's connections to the membership's listener; no frame length begins with it.
 ELECTION_PREFACE = b"S"
 OWNERSHIP_PREFACE = b"O"
@@ -60,6 +70,9 @@
         self.connections = {
             member: self._connection_to(member) for member in addresses if member != self_id
         }
+        self.incoming = ConnectionTable[trio.CancelScope](MAX_INCOMING, MAX_UNSIGNED_INCOMING)
+        self.unsigned_bytes = ByteBudget[trio.CancelScope](MAX_UNSIGNED_BYTES)
+        self.signed_bytes = ByteBudget[trio.CancelScope](codec.MAX_FRAME_BYTES)
         self.rejected_frames = 0
         self.rejection_log = RateLimitedLog("peer.authentication_failed", log_event)
 
@@ -107,31 +120,62 @@
 
         `data` holds the bytes read so far: the preface, or the beginning of it.
         """
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                if len(data) < 2:
-                    data += await receive_exactly(stream, 2 - len(data))
-                name_length = data[1]
-                missing_bytes = name_length - len(data[2:])
-                await receive_exactly(stream, max(missing_bytes, 0))
-        except (trio.TooSlowError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError):
-            await trio.aclose_forcefully(stream)
-            return
-        await self.accept(stream)
+        await self._serve(stream, lambda: self._skip_preface(stream, data))
 
     async def accept(self, stream: trio.SocketStream) -> None:
+        """Serves a connection of the log's own listener."""
+        await self._serve(stream, trio.lowlevel.checkpoint)
+
+    async def _serve(self, stream: trio.SocketStream, begin: Callable[[], Awaitable[None]]) -> None:
+        """Begins a connection and receives its frames; an older one may be closed for it.
+
+        That is one that has not sent a signed frame yet, such as that of a peer that stays silent.
+        """
+        with trio.CancelScope() as scope:
+            surplus = self.incoming.add(scope)
+            if surplus is not None:
+                surplus.cancel()
+            try:
+                await begin()
+                await self._receive_frames(stream, scope)
+            except CONNECTION_ERRORS:
+                pass  # the peer connects again
+            except AuthenticationError as error:
+                self.rejected_frames += 1
+                self.rejection_log.write(why=str(error), count=self.rejected_frames)
+            finally:
+                self.incoming.remove(scope)
+                for budget in (self.unsigned_bytes, self.signed_bytes):
+                    budget.set_bytes(scope, 0)
+                await trio.aclose_forcefully(stream)
+
+    async def _skip_preface(self, stream: trio.SocketStream, data: bytes) -> None:
+        """Reads the rest of the preface, which begins with `data`."""
+        with trio.fail_after(CONNECT_TIMEOUT):
+            if len(data) < 2:
+                data += await receive_exactly(stream, 2 - len(data))
+            name_length = data[1]
+            missing_bytes = name_length - len(data[2:])
+            await receive_exactly(stream, max(missing_bytes, 0))
+
+    async def _receive_frames(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
         """Sends a nonce, then reads frames until the connection ends or a frame is rejected."""
         nonce = secrets.token_bytes(codec.NONCE_BYTES)
         opener = codec.FrameOpener(self.keys, nonce, self.message_types)
-        try:
-            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                await stream.send_all(nonce)
-                while data := await stream.receive_some(RECEIVE_BYTES):
-                    for message in opener.feed(bytes(data)):
-                        if message.sender not in self.blocked_members:
-                            self.on_message(message)
-        except AuthenticationError as error:
-            self.rejected_frames += 1
-            self.rejection_log.write(why=str(error), count=self.rejected_frames)
-        finally:
-            await trio.aclose_forcefully(stream)
+        await stream.send_all(nonce)
+        while data := await stream.receive_some(RECEIVE_BYTES):
+            for message in opener.feed(bytes(data)):
+                self.incoming.establish(scope)
+                if message.sender not in self.blocked_members:
+                    self.on_message(message)
+            self._count_buffered(scope, len(opener.buffer))
+
+    def _count_buffered(self, scope: trio.CancelScope, byte_count: int) -> None:
+        """Counts the bytes of a connection's incomplete frame, and ends the largest ones."""
+        budget = self.unsigned_bytes
+        if scope in self.incoming.established:
+            self.unsigned_bytes.set_bytes(scope, 0)
+            budget = self.signed_bytes
+        budget.set_bytes(scope, byte_count)
+        while (largest := budget.take_largest()) is not None:
+            largest.cancel()
--- a/dunlinlug/fleet/membership/streams.py
+++ b/dunlinlug/fleet/membership/streams.py
@@ -9,6 +9,7 @@
 from dunlinlug.fleet.connections import Address, ConnectionHandler, ConnectionLimit
 from dunlinlug.fleet.membership import codec
 from dunlinlug.fleet.sealing import RejectReason
+from dunlinlug.net.peer_limits import ConnectionTable
 
 # Concurrent frames in each direction, and seconds for each.
 MAX_STREAMS = 16
@@ -34,7 +35,7 @@
         self.on_frame = on_frame
         self.rejections = rejections
         self.counts = counts
-        self.incoming = ConnectionLimit(MAX_STREAMS)
+        self.incoming = ConnectionTable[trio.CancelScope](MAX_STREAMS, MAX_STREAMS)
         self.outgoing = ConnectionLimit(MAX_STREAMS)
         self.delegated = ConnectionLimit(MAX_DELEGATED_CONNECTIONS)
         self.handlers: dict[bytes, ConnectionHandler] = {}  # by a connection's first byte
@@ -62,15 +63,24 @@
             self.outgoing.release()
 
     async def accept(self, stream: trio.SocketStream) -> None:
-        """Read one frame before the timeout and send no answer, or delegate the connection."""
-        if not self.incoming.try_acquire():
-            self.rejections[RejectReason.TOO_MANY_STREAMS.value] += 1
+        """Read one frame before the timeout and send no answer, or delegate the connection.
+
+        With too many open, the oldest is closed: a frame follows its connect at once, and a peer
+        that stays silent must not keep others out.
+        """
+        data = b""
+        with trio.CancelScope() as scope:
+            surplus = self.incoming.add(scope)
+            if surplus is not None:
+                surplus.cancel()
+                self.rejections[RejectReason.TOO_MANY_STREAMS.value] += 1
+            try:
+                data = await self._read(stream)
+            finally:
+                self.incoming.remove(scope)
+        if scope.cancelled_caught:
             await trio.aclose_forcefully(stream)
             return
-        try:
-            data = await self._read(stream)
-        finally:
-            self.incoming.release()
         handler = self.handlers.get(data[:1])
         if handler is not None:
             await self._delegate(stream, data, handler)
--- a/dunlinlug/fleet/membership/transport.py
+++ b/dunlinlug/fleet/membership/transport.py
@@ -78,7 +78,7 @@
     def open_streams(self) -> dict[str, int]:
         """Number of open TCP connections by kind."""
         return {
-            "in": self.streams.incoming.open,
+            "in": len(self.streams.incoming.new_connections),
             "out": self.streams.outgoing.open,
             "calls": self.streams.delegated.open,
         }
