--- a/dunlinlug/net/grpc_server.py
+++ b/dunlinlug/net/grpc_server.py
@@ -40,7 +40,7 @@
     on_unauthenticated: Callable[[str], None] | None = None
     max_connections: int = 2048
     max_new_connections: int = 1024
-    max_new_bytes: int = 2**16
+    max_new_bytes: int = 2**18
     max_message_size: int = 2**21
     max_received_bytes: int = 2**25
     max_unwritten_bytes: int = 2**26
