gRPC: a call and shared turns in modules of their own; held-back answers count

Bytes that a peer's flow control holds back count into the 64 MiB of answers that are not read, beside those that its socket holds back: a peer that never opens its window was not counted (found by reading; no attack with it was measured).

--- a/dunlinlug/ads/stream_host.py
+++ b/dunlinlug/ads/stream_host.py
@@ -8,7 +8,8 @@
 from dunlinlug.ads.session import DeltaSession
 from dunlinlug.ads.state_of_the_world_session import StateOfTheWorldSession
 from dunlinlug.errors import DunlinlugError
-from dunlinlug.net.grpc import Call, GrpcConnection
+from dunlinlug.net.grpc import Call
+from dunlinlug.net.grpc_call import CallConnection
 from dunlinlug.xds.state_of_the_world import StateOfTheWorldStream
 from dunlinlug.xds.stream import DeltaStream
 
@@ -55,7 +56,7 @@
         """Remove a session if it is still its proxy's current one."""
 
 
-def require_identity(node_id: str, connection: GrpcConnection) -> None:
+def require_identity(node_id: str, connection: CallConnection) -> None:
     """Check a node's name against its connection's certificate and its earlier calls.
 
     An empty identity (no TLS) matches any name, but only one on each connection.
--- a/dunlinlug/net/grpc.py
+++ b/dunlinlug/net/grpc.py
@@ -12,14 +12,15 @@
 import trio
 
 from dunlinlug import rpc
-from dunlinlug.errors import DunlinlugError
+from dunlinlug.net.grpc_call import Call, CallEndedError
 from dunlinlug.net.peer_limits import RateLimit
+from dunlinlug.net.shared_turn import SharedTurn
+
+__all__ = ["Call", "CallEndedError", "GrpcConnection", "connect"]
 
 # Maximum bytes of one read. Many small calls fit in it, and others wait while it is handled.
 READ_SIZE = 2**14
 NEW_READ_SIZE = 2**12  # the same of a peer without a valid message
-# Maximum received messages of a call that are not yet handled; a call that exceeds it is ended.
-MAX_PENDING_MESSAGES = 256
 # Calls that a peer may open; a proxy has a few, and opens them anew when the leader changes.
 MAX_CALLS_PER_SECOND = 200
 # Seconds for finishing a write and sending GOAWAY on close; a peer that does not read gets neither.
@@ -28,111 +29,6 @@
 MAX_UNWRITTEN_BYTES = 2**20
 
 
-class CallEndedError(DunlinlugError):
-    """The call has ended: its status (None if it ended without one) and the reason."""
-
-    def __init__(self, status: int | None, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
-class Call:
-    """One call in progress; messages are bytes.
-
-    Attributes:
-        ended: Status and reason once the call has ended, else None.
-        accepted: Whether the response headers were sent (server side).
-        is_reset: Whether the peer has reset the call; its unhandled messages then have no effect.
-        headers_received: Set once the response headers are received (client side) or the call ends.
-        scope: Cancel it to stop the task that serves the call.
-        pending_bytes: Bytes of the received messages that are not yet handled.
-    """
-
-    def __init__(self, connection: "GrpcConnection", stream_id: int, path: str) -> None:
-        self.connection = connection
-        self.stream_id = stream_id
-        self.path = path
-        self.message_sender, self.message_receiver = trio.open_memory_channel[bytes](
-            MAX_PENDING_MESSAGES
-        )
-        self.ended: CallEndedError | None = None
-        self.is_reset = False
-        self.accepted = False
-        self.headers_received = trio.Event()
-        self.scope = trio.CancelScope()
-        self.pending_bytes = 0
-
-    async def receive(self) -> bytes:
-        """Return the next message.
-
-        Raises:
-            CallEndedError: The call has ended and there are no more messages, or the peer has
-                reset the call and waits for no answer.
-        """
-        if self.is_reset and self.ended is not None:
-            raise self.ended
-        try:
-            message = await self.message_receiver.receive()
-        except trio.EndOfChannel:
-            raise self.ended or CallEndedError(None, "the peer ended the call") from None
-        self.pending_bytes -= len(message)
-        self.connection.count_received()
-        return message
-
-    def send(self, message: bytes, buffered: bool = False) -> None:
-        """Queue a message; check `unsent_bytes` before queueing many.
-
-        With `buffered`, the message is written together with the next one.
-        """
-        self.connection.protocol.send(self.stream_id, message)
-        if not buffered:
-            self.connection.flush()
-
-    def reset(self) -> None:
-        """Let the peer's unhandled messages have no effect, as it has reset the call (server side).
-
-        A handler that has not accepted the call may wait for long, and is stopped.
-        """
-        self.is_reset = True
-        if not self.accepted:
-            self.scope.cancel()
-
-    def accept(self) -> None:
-        """Send the response headers (server side)."""
-        self.accepted = True
-        self.connection.protocol.accept(self.stream_id)
-        self.connection.flush()
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes held back by flow control or by the socket."""
-        return (
-            self.connection.protocol.unsent_bytes(self.stream_id) + self.connection.unwritten_bytes
-        )
-
-    async def wait_sent(self) -> None:
-        """Wait until no bytes are held back or the call has ended."""
-        while self.unsent_bytes and self.ended is None:
-            await self.connection.write_completed.wait()
-
-    def finish(self, status: rpc.Status, text: str = "") -> None:
-        """End the call with a status (server side), after the queued data."""
-        self.connection.protocol.finish(self.stream_id, status, text)
-        self.connection.flush()
-
-    def cancel(self) -> None:
-        """Reset the call."""
-        self.connection.protocol.cancel(self.stream_id)
-        self.connection.flush()
-
-    def end(self, status: int | None, reason: str) -> None:
-        """Mark the call as ended; only the first status and reason are kept."""
-        self.ended = self.ended or CallEndedError(status, reason)
-        self.headers_received.set()
-        self.message_sender.close()
-
-
 def _ignore_bytes(_connection: "GrpcConnection", _byte_count: int) -> None:
     return None
 
@@ -141,21 +37,6 @@
     return None
 
 
-class SharedTurn:
-    """Limits the time that a group of tasks works to half of the process's, in order of arrival."""
-
-    def __init__(self) -> None:
-        self.lock = trio.Lock()
-
-    @asynccontextmanager
-    async def turn(self) -> AsyncIterator[None]:
-        """Work inside the block, without waiting; the next turn begins after as long a pause."""
-        async with self.lock:
-            started_at = trio.current_time()
-            yield
-            await trio.sleep(trio.current_time() - started_at)
-
-
 class GrpcConnection:
     """A socket with its protocol state and its calls by stream id.
 
@@ -172,7 +53,8 @@
         new_work: Limits the work for peers without a valid message, all together.
         on_received: Called with the bytes that are held of incomplete and of unhandled messages
             whenever their number has changed.
-        on_unwritten: Called with `unwritten_bytes` whenever it has changed.
+        on_unwritten: Called with the bytes that the peer has not read when their number may have
+            changed.
         on_established: Called when the peer has sent a valid message.
     """
 
@@ -209,12 +91,12 @@
         self.on_received(self, self.protocol.held_bytes() + pending_bytes)
 
     def abort(self) -> None:
-        """Close the connection, and drop what was received at once.
+        """Close the connection, and drop at once what is held for it.
 
         The objects of a connection refer to each other, so that they are freed only by a later
         garbage collection.
         """
-        self.protocol.discard_received()
+        self.protocol.discard_held()
         self.close_deadline = trio.current_time()
         self.scope.cancel()
 
@@ -232,7 +114,11 @@
             self.outgoing.append(data)
             self.unwritten_bytes += len(data)
             self.write_requested.set()
-            self.on_unwritten(self, self.unwritten_bytes)
+        self._count_unwritten()
+
+    def _count_unwritten(self) -> None:
+        """Report the bytes that the socket or the peer's flow control holds back."""
+        self.on_unwritten(self, self.unwritten_bytes + self.protocol.queued_bytes())
 
     def _write_now(self, data: bytes) -> int:
         """Write as much as the socket accepts without blocking; returns the number of bytes.
@@ -284,7 +170,7 @@
         finally:
             for call in list(self.calls.values()):
                 call.end(None, "the connection was lost")
-            self.protocol.discard_received()
+            self.protocol.discard_held()
             await self._close()
 
     async def _close(self) -> None:
@@ -424,7 +310,7 @@
                 return
             finally:
                 self.unwritten_bytes -= len(data)
-                self.on_unwritten(self, self.unwritten_bytes)
+                self._count_unwritten()
                 self.write_completed.set()
                 self.write_completed = trio.Event()
 
--- a/dunlinlug/net/grpc_server.py
+++ b/dunlinlug/net/grpc_server.py
@@ -8,8 +8,9 @@
 
 from dunlinlug import rpc
 from dunlinlug.net import tls
-from dunlinlug.net.grpc import Call, GrpcConnection, SharedTurn
+from dunlinlug.net.grpc import Call, GrpcConnection
 from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable
+from dunlinlug.net.shared_turn import SharedTurn
 
 
 @dataclass(frozen=True)
--- a/dunlinlug/rpc/connection.py
+++ b/dunlinlug/rpc/connection.py
@@ -141,10 +141,16 @@
             return 0
         return call.queued_bytes
 
-    def discard_received(self) -> None:
-        """Drop the incomplete messages of a connection that is being closed."""
+    def discard_held(self) -> None:
+        """Drop the incomplete and the unsent messages of a connection that is being closed."""
         for call in self.calls.values():
             call.deframer.buffer = bytearray()
+            call.queue.clear()
+            call.queued_bytes = 0
+
+    def queued_bytes(self) -> int:
+        """Return the bytes that flow control holds back, of all calls."""
+        return sum(call.queued_bytes for call in self.calls.values())
 
     def held_bytes(self) -> int:
         """Return the bytes that are kept of incomplete messages and header blocks."""
--- a/tests/net/test_peer_limits.py
+++ b/tests/net/test_peer_limits.py
@@ -6,8 +6,8 @@
 import trio
 import trio.testing
 
-from dunlinlug.net.grpc import SharedTurn
 from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable, TokenBucket
+from dunlinlug.net.shared_turn import SharedTurn
 
 
 @pytest.mark.parametrize("seed", range(5))
