xDS manager: silent connections leave descriptors for proxies

What operators would see: 400 silent connections use up the 256 descriptors of a manager for ten seconds at a time, and no proxy is accepted.

Change: the limits on connections follow the descriptors that the process has. While there are too many without a valid message the next one waits in the listener's queue, until the oldest of them has had 0.25 s, as on the platform's port; then that one gives way.

--- a/dunlinlug/fleet/election/transport.py
+++ b/dunlinlug/fleet/election/transport.py
@@ -132,7 +132,7 @@
         That is one that has not sent a signed frame yet, such as that of a peer that stays silent.
         """
         with trio.CancelScope() as scope:
-            surplus = self.incoming.add(scope)
+            surplus = self.incoming.add(scope, trio.current_time())
             if surplus is not None:
                 surplus.cancel()
             try:
--- a/dunlinlug/fleet/membership/streams.py
+++ b/dunlinlug/fleet/membership/streams.py
@@ -70,7 +70,7 @@
         """
         data = b""
         with trio.CancelScope() as scope:
-            surplus = self.incoming.add(scope)
+            surplus = self.incoming.add(scope, trio.current_time())
             if surplus is not None:
                 surplus.cancel()
                 self.rejections[RejectReason.TOO_MANY_STREAMS.value] += 1
--- a/dunlinlug/net/grpc_server.py
+++ b/dunlinlug/net/grpc_server.py
@@ -9,6 +9,11 @@
 from dunlinlug import rpc
 from dunlinlug.net import tls
 from dunlinlug.net.grpc import Call, GrpcConnection
+from dunlinlug.net.listening import (
+    NEW_CONNECTION_GRACE_S,
+    affordable_connections,
+    serve_connections,
+)
 from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable
 from dunlinlug.net.shared_turn import SharedTurn
 
@@ -54,7 +59,8 @@
 ) -> None:
     """Serve calls on these listeners until cancelled; `handler` serves each call until it ends."""
     server = _Server(handler, options or ServerOptions())
-    await trio.serve_listeners(server.serve_socket, listeners)
+    async with trio.open_nursery() as nursery:
+        await serve_connections(server.serve_socket, listeners, server.connections, nursery)
 
 
 class _Server:
@@ -63,8 +69,11 @@
     def __init__(self, handler: Callable[[Call], Awaitable[None]], options: ServerOptions) -> None:
         self.handler = handler
         self.options = options
+        max_connections = affordable_connections(options.max_connections)
         self.connections = ConnectionTable[trio.CancelScope](
-            options.max_connections, options.max_new_connections
+            max_connections,
+            min(options.max_new_connections, max_connections // 2),
+            NEW_CONNECTION_GRACE_S,
         )
         self.new_work = SharedTurn()
         self.received = ByteBudget[GrpcConnection](options.max_received_bytes)
@@ -73,7 +82,7 @@
     async def serve_socket(self, socket: trio.SocketStream) -> None:
         """Serve one connection until it ends; another one may be closed for it."""
         with trio.CancelScope() as scope:
-            surplus = self.connections.add(scope)
+            surplus = self.connections.add(scope, trio.current_time())
             if surplus is not None:
                 surplus.cancel()
             try:
--- a/dunlinlug/net/http_server.py
+++ b/dunlinlug/net/http_server.py
@@ -18,6 +18,11 @@
     Response,
     decoded_headers,
 )
+from dunlinlug.net.listening import (
+    NEW_CONNECTION_GRACE_S,
+    affordable_connections,
+    serve_connections,
+)
 from dunlinlug.net.peer_limits import ByteBudget, ConnectionTable
 
 READ_SIZE = 2**14
@@ -119,15 +124,18 @@
         self.shutdown = _GracefulShutdown(grace_period)
         self.options = options
         limits = options.limits
+        max_connections = affordable_connections(limits.max_connections)
         self.connections = ConnectionTable[_Connection](
-            limits.max_connections, limits.max_new_connections
+            max_connections,
+            min(limits.max_new_connections, max_connections // 2),
+            NEW_CONNECTION_GRACE_S,
         )
         self.received = ByteBudget[_Connection](limits.max_received_bytes)
 
     async def serve_stream(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends; another one may be closed for it."""
         connection = _Connection(self, stream)
-        surplus = self.connections.add(connection)
+        surplus = self.connections.add(connection, trio.current_time())
         if surplus is not None:
             surplus.receive_scope.cancel()
         try:
@@ -311,6 +319,6 @@
     server = Server(handler, idle_timeout, grace_period, options or ServerOptions())
     async with trio.open_nursery() as nursery:
         try:
-            await trio.serve_listeners(server.serve_stream, listeners, handler_nursery=nursery)
+            await serve_connections(server.serve_stream, listeners, server.connections, nursery)
         finally:
             server.shutdown.begin()
--- a/dunlinlug/net/peer_limits.py
+++ b/dunlinlug/net/peer_limits.py
@@ -41,24 +41,37 @@
     """The open connections of a listener, of which those without a valid message are limited more.
 
     A connection is new until its peer has sent a valid message. Beyond a limit, the oldest new
-    connection is to be closed, so that a peer whose message follows its connect is served; a
-    connection that has been established is closed for no other.
+    connection is to be closed; a connection that has been established is closed for no other. Each
+    new one has `grace` seconds at least if the listener waits as `seconds_until_room` says, so that
+    a peer whose message follows its connect is served. Times are seconds on the caller's clock.
     """
 
-    def __init__(self, max_connections: int, max_new: int) -> None:
+    def __init__(self, max_connections: int, max_new: int, grace: float = 0.0) -> None:
         self.max_connections = max_connections
         self.max_new = max_new
-        self.new_connections: dict[Peer, None] = {}  # oldest first
+        self.grace = grace
+        self.new_connections: dict[Peer, float] = {}  # with the time when added, oldest first
         self.established = set[Peer]()
 
-    def add(self, connection: Peer) -> Peer | None:
+    def _has_room(self) -> bool:
+        count = len(self.new_connections) + len(self.established)
+        return len(self.new_connections) < self.max_new and count < self.max_connections
+
+    def seconds_until_room(self, now: float) -> float:
+        """Return the seconds until the next connection may be added without a loss of grace."""
+        if self._has_room() or not self.new_connections:
+            return 0.0
+        oldest_since = next(iter(self.new_connections.values()))
+        return max(oldest_since + self.grace - now, 0.0)
+
+    def add(self, connection: Peer, now: float) -> Peer | None:
         """Add a new connection; return the one that is to be closed for it, or None.
 
         It is the added one if all others are established.
         """
-        self.new_connections[connection] = None
-        count = len(self.new_connections) + len(self.established)
-        if len(self.new_connections) <= self.max_new and count <= self.max_connections:
+        had_room = self._has_room()
+        self.new_connections[connection] = now
+        if had_room:
             return None
         oldest = next(iter(self.new_connections))
         del self.new_connections[oldest]
--- a/tests/net/test_peer_limits.py
+++ b/tests/net/test_peer_limits.py
@@ -30,7 +30,7 @@
     rng, table = Random(seed), ConnectionTable[int](12, 5)
     new, established = list[int](), set[int]()
     for connection in range(2000):
-        surplus = table.add(connection)
+        surplus = table.add(connection, float(connection))
         new.append(connection)
         is_over = len(new) > 5 or len(new) + len(established) > 12
         assert surplus == (new.pop(0) if is_over else None)
@@ -46,6 +46,18 @@
         assert len(new) <= 5 and len(new) + len(established) <= 12
 
 
+def test_a_new_connection_has_its_grace_before_it_gives_way() -> None:
+    table = ConnectionTable[str](10, 2, grace=0.25)
+    assert table.seconds_until_room(0.0) == 0.0
+    table.add("a", 0.0)
+    table.add("b", 0.1)
+    assert table.seconds_until_room(0.2) == pytest.approx(0.05)
+    assert table.seconds_until_room(0.3) == 0.0
+    assert table.add("c", 0.3) == "a"
+    table.establish("b")
+    assert table.seconds_until_room(0.3) == 0.0, "an established one takes no place of a new one"
+
+
 def test_a_burst_goes_at_once_and_the_rest_at_the_rate() -> None:
     bucket = TokenBucket(3, 10.0)
     delays = [bucket.reserve(100.0) for _ in range(5)]
--- a/tests/race_conditions/hostile_clients.py
+++ b/tests/race_conditions/hostile_clients.py
@@ -181,6 +181,10 @@
         await stream.send_all(b"GET /tables HTTP/1.1\r\nhost: a\r\n\r\n" * 50)
 
 
+async def silence(stream: trio.SocketStream) -> None:
+    await stream.wait_send_all_might_not_block()
+
+
 ATTACKS: dict[str, Attack] = {
     attack.__name__: attack
     for attack in (
@@ -198,6 +202,7 @@
         calls_of_ever_new_nodes,
         sound_reports,
         requests_without_token,
+        silence,
     )
 }
 
--- a/tests/race_conditions/test_hostile_clients.py
+++ b/tests/race_conditions/test_hostile_clients.py
@@ -155,3 +155,15 @@
         assert last.ended is not None and last.ended.status is None
         async with peer(run, "p1") as other:
             await other.until(has_tables)
+
+
+async def test_silent_clients_leave_descriptors_for_proxies(tmp_path: Path) -> None:
+    # They used up all descriptors for ten seconds at a time, and no proxy was accepted meanwhile.
+    async with running_xds_process(tmp_path, descriptors=256) as manager:
+        async with attacked(manager.process.pid, manager.port, 400, "silence"):
+            await trio.sleep(2.0)
+            for n in range(3):
+                with trio.fail_after(8.0):
+                    async with manager.peer(f"p{n}") as proxy:
+                        await proxy.until(has_tables)
+        assert manager.process.poll() is None
