A load report of very many empty elements is refused before it is decoded

Cause: a report was walked in full before its bounds were checked.

A report of 5,000 workers with three metrics each has 20,000.

--- a/dunlinlug/xds/load_reports.py
+++ b/dunlinlug/xds/load_reports.py
@@ -25,6 +25,8 @@
 MAX_REPORT_INTERVAL = 60.0  # seconds; used in place of a longer one
 MAX_REPORTED_WORKERS = 10_000  # workers in one report
 MAX_REPORTED_CLASSES = 1_000  # traffic classes in one report
+# Clusters, localities, endpoints and metrics in one report; an empty one takes two bytes.
+MAX_REPORT_ELEMENTS = 50_000
 
 
 class LoadReportError(DunlinlugError):
@@ -125,13 +127,15 @@
     """Decode a report of a dunlinlug client or of a plain gRPC client.
 
     Raises:
-        LoadReportError: `data` is not a `LoadStatsRequest`, or a value is out of bounds.
+        LoadReportError: `data` is not a `LoadStatsRequest`, it has too many elements, or a value is
+            out of bounds.
     """
     request = lrs_pb2.LoadStatsRequest()
     try:
         request.ParseFromString(data)
     except DecodeError as error:
         raise LoadReportError(f"not a LoadStatsRequest: {error}") from None
+    _require_element_count(request)
     report = LoadReport(request.node.id, request.node.locality.zone, 0.0)
     for cluster_statistics in request.cluster_stats:
         report.window = max(
@@ -147,6 +151,23 @@
     return report
 
 
+def _require_element_count(request: lrs_pb2.LoadStatsRequest) -> None:
+    """Raise LoadReportError if a request has too many elements to be decoded in one go."""
+    count = len(request.cluster_stats)
+    clusters = request.cluster_stats if count <= MAX_REPORT_ELEMENTS else ()
+    for cluster_statistics in clusters:
+        count += len(cluster_statistics.upstream_locality_stats)
+        if count > MAX_REPORT_ELEMENTS:
+            break
+        for locality in cluster_statistics.upstream_locality_stats:
+            count += len(locality.load_metric_stats) + len(locality.upstream_endpoint_stats)
+            if count > MAX_REPORT_ELEMENTS:
+                break
+            count += sum(len(entry.load_metric_stats) for entry in locality.upstream_endpoint_stats)
+    if count > MAX_REPORT_ELEMENTS:
+        raise LoadReportError(f"more than {MAX_REPORT_ELEMENTS} elements")
+
+
 def _require_report_bounds(report: LoadReport) -> None:
     """Raise LoadReportError if a value of the report is out of bounds.
 
--- a/tests/race_conditions/test_out_of_range_values.py
+++ b/tests/race_conditions/test_out_of_range_values.py
@@ -404,3 +404,27 @@
 def test_a_members_observation_out_of_range_is_no_evidence(payload: bytes) -> None:
     observations = SharedObservations("a", 1)
     assert observations.merge(0.0, Broadcast("met/b/1/w", payload)) == []
+
+
+def length_delimited(field_number: int, body: bytes) -> bytes:
+    """A protobuf field with a body of 2**14 to 2**21 bytes."""
+    size = len(body)
+    length = bytes([size & 127 | 128, size >> 7 & 127 | 128, size >> 14])
+    return bytes([field_number << 3 | 2]) + length + body
+
+
+@pytest.mark.parametrize("depth", [0, 1, 2, 3])
+def test_a_load_report_of_very_many_empty_elements_is_not_decoded(
+    depth: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A message of 2 MiB with a million empty elements held the whole process up for 3 s.
+    fields = [b"\x12\x00", b"\x12\x00", b"\x3a\x00", b"\x2a\x00"]
+    body = fields[depth] * 60_000
+    for field_number in [2, 2, 7][:depth][::-1]:
+        body = length_delimited(field_number, body)
+    decoded = list[object]()
+    for name in ("_decode_endpoint_statistics", "_decode_worker_statistics"):
+        monkeypatch.setattr(load_reports, name, lambda *arguments: decoded.append(arguments))
+    with pytest.raises(load_reports.LoadReportError, match="more than 50000 elements"):
+        load_reports.decode_report(body)
+    assert not decoded
