New nodes wait in a line, and one that leaves it takes no place of the rate

Cause: the rate of unknown nodes counted each join when it began to wait. A client that opens calls under ever new names and breaks them off would have put off the next new proxy by 0.04 s each, without bound.

Change: the first in the line waits for its time and takes it then. A follower that can't decode an override of its leader reports divergence, as for other parts of an entry that it can't decode.

Evidence: test_nodes_that_left_the_line_of_new_ones_delay_no_later_one fails without this and passes.

--- a/dunlinlug/ads/service.py
+++ b/dunlinlug/ads/service.py
@@ -62,6 +62,7 @@
         self.proxy_numbers: dict[str, int] = {}
         self.new_proxy_numbers: dict[str, int] = {}
         self.new_nodes = TokenBucket(MAX_NEW_NODES_AT_ONCE, NEW_NODES_PER_SECOND)
+        self.new_node_turn = trio.Lock()
         self.split_streams = SplitStreams(self)
         self.leading = trio.Event()
         self.leading.set()
@@ -117,7 +118,10 @@
         """
         require_identity(stream.node_id, call.connection)
         if stream.node_id not in self.proxy_numbers:
-            await trio.sleep(self.new_nodes.reserve(trio.current_time()))
+            # A call that ends while it waits takes no place.
+            async with self.new_node_turn:
+                await trio.sleep(self.new_nodes.seconds_until_free(trio.current_time()))
+                self.new_nodes.take(trio.current_time())
         if stream.reported_term > self.term:
             self._notify_higher_term(stream.reported_term)
         self._assign_number(stream.node_id)
--- a/dunlinlug/fleet/election/leadership.py
+++ b/dunlinlug/fleet/election/leadership.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from dunlinlug.bounded_values import OutOfBoundsError
 from dunlinlug.decision.events import Event
 from dunlinlug.decision.settings import ManagerSettings
 from dunlinlug.fleet.election import messages as election_messages
@@ -265,7 +266,7 @@
                     bytes=len(order.body),
                     tables=len(self.proxy_state.tables),
                 )
-        except SerializationError as error:
+        except (SerializationError, OutOfBoundsError) as error:
             self._report_divergence(str(error))
             return False
         self.last_error = ""
--- a/dunlinlug/net/peer_limits.py
+++ b/dunlinlug/net/peer_limits.py
@@ -110,16 +110,17 @@
 
 
 class TokenBucket:
-    """Delays events beyond a burst to a rate; times are seconds on the caller's clock."""
+    """Limits events to a rate after a burst; times are seconds on the caller's clock."""
 
     def __init__(self, burst: int, per_second: float) -> None:
-        self.burst = burst
-        self.per_second = per_second
+        self.interval = 1.0 / per_second
+        self.burst_duration = (burst - 1) * self.interval
         self.next_free_at = 0.0
 
-    def reserve(self, now: float) -> float:
-        """Count one event, and return the seconds after which it may happen."""
-        interval = 1.0 / self.per_second
-        earliest = now - (self.burst - 1) * interval
-        self.next_free_at = max(self.next_free_at, earliest) + interval
-        return max(self.next_free_at - interval - now, 0.0)
+    def seconds_until_free(self, now: float) -> float:
+        """Return the seconds until the next event may happen."""
+        return max(self.next_free_at - now, 0.0)
+
+    def take(self, now: float) -> None:
+        """Count an event that happens now."""
+        self.next_free_at = max(self.next_free_at, now - self.burst_duration) + self.interval
--- a/tests/net/test_peer_limits.py
+++ b/tests/net/test_peer_limits.py
@@ -60,10 +60,13 @@
 
 def test_a_burst_goes_at_once_and_the_rest_at_the_rate() -> None:
     bucket = TokenBucket(3, 10.0)
-    delays = [bucket.reserve(100.0) for _ in range(5)]
-    assert delays == pytest.approx([0.0, 0.0, 0.0, 0.1, 0.2])
-    assert bucket.reserve(100.3) == 0.0
-    assert [bucket.reserve(200.0) for _ in range(4)] == pytest.approx([0.0, 0.0, 0.0, 0.1])
+    for start in (100.0, 200.0):
+        now, happened_at = start, list[float]()
+        for _ in range(6):
+            now += bucket.seconds_until_free(now)
+            bucket.take(now)
+            happened_at.append(now - start)
+        assert happened_at == pytest.approx([0.0, 0.0, 0.0, 0.1, 0.2, 0.3])
 
 
 async def test_a_shared_turn_is_followed_by_as_long_a_pause(
--- a/tests/race_conditions/test_hostile_clients.py
+++ b/tests/race_conditions/test_hostile_clients.py
@@ -168,3 +168,16 @@
                     async with manager.peer(f"p{n}") as proxy:
                         await proxy.until(has_tables)
         assert manager.process.poll() is None
+
+
+async def test_nodes_that_left_the_line_of_new_ones_delay_no_later_one(tmp_path: Path) -> None:
+    # Each join that was broken off would have kept its place for 0.04 s.
+    async with running(tmp_path) as run:
+        service = run.manager.components.service
+        service.new_nodes.next_free_at = trio.current_time() + 0.5  # the burst is used up
+        for n in range(60):
+            async with peer(run, f"left {n}") as leaving:
+                await leaving.call.headers_received.wait()
+        assert service.new_nodes.next_free_at < trio.current_time() + 1.0
+        async with peer(run, "p0") as proxy:
+            await proxy.until(has_tables)
