Operators keep their connections before clients without a token

Cause, found by reading: a request for the health, which needs no token, counted as valid, so that 64 clients which ask now and then would have held all connections of the endpoint. And a manager that does not lead has only connections that wait without a valid message: half of the descriptors was too few for a fleet of 500 proxies with 1,024 descriptors.

Change: `is_trusted` says whose connection stays when others come, at the administration endpoint the requests with the token. Connections without a valid message may be as many as there may be at all.

Evidence: the new test, 100 clients that ask for the health and two operators; the attacks of test_hostile_clients.py as before.

--- a/dunlinlug/admin/api.py
+++ b/dunlinlug/admin/api.py
@@ -94,8 +94,11 @@
         """Accept this token from now on, and the previous one no longer."""
         self.token = token
 
-    def _is_authorized(self, request: Request) -> bool:
-        """Compare tokens in constant time, so that timing does not reveal them byte by byte."""
+    def is_authorized(self, request: Request) -> bool:
+        """Return whether a request has the token.
+
+        Tokens are compared in constant time, so that timing does not reveal them byte by byte.
+        """
         authorization = request.headers.get("authorization", "")
         return hmac.compare_digest(authorization.encode(), f"Bearer {self.token}".encode())
 
@@ -104,7 +107,7 @@
 
         The body is not read, so that it need not have been received.
         """
-        if _needs_no_token(request) or self._is_authorized(request):
+        if _needs_no_token(request) or self.is_authorized(request):
             return None
         return _error_response(
             401, "no token, or not the right one: say authorization: Bearer TOKEN"
--- a/dunlinlug/ads/admin_server.py
+++ b/dunlinlug/ads/admin_server.py
@@ -134,7 +134,7 @@
         listeners,
         config.quiet_most,
         SHUTDOWN_GRACE_S,
-        http.ServerOptions(LIMITS, admin_api.check_token, on_error),
+        http.ServerOptions(LIMITS, admin_api.check_token, admin_api.is_authorized, on_error),
     )
     components.log_event("admin.ready", listen=f"{address[0]}:{address[1]}")
     return address
--- a/dunlinlug/net/grpc_server.py
+++ b/dunlinlug/net/grpc_server.py
@@ -72,7 +72,7 @@
         max_connections = affordable_connections(options.max_connections)
         self.connections = ConnectionTable[trio.CancelScope](
             max_connections,
-            min(options.max_new_connections, max_connections // 2),
+            min(options.max_new_connections, max_connections),
             NEW_CONNECTION_GRACE_S,
         )
         self.new_work = SharedTurn()
--- a/dunlinlug/net/http_server.py
+++ b/dunlinlug/net/http_server.py
@@ -48,7 +48,7 @@
 
     Attributes:
         max_connections: Open connections.
-        max_new_connections: Those among them whose client has sent no complete request yet.
+        max_new_connections: Those among them whose client has sent no complete, trusted request.
         max_body_size: Bytes of one request's body.
         max_received_bytes: Bytes of the incomplete requests of all clients.
     """
@@ -66,12 +66,14 @@
     Attributes:
         limits: What all clients may use together.
         check_headers: May reject a request before its body is received.
+        is_trusted: Whether the client of a complete request keeps its connection when others come.
         on_error: Called with an exception of the handler, which then ends only that connection; if
             None, the exception ends the server.
     """
 
     limits: ServerLimits = ServerLimits()
     check_headers: HeaderCheck = lambda _request: None
+    is_trusted: Callable[[Request], bool] = lambda _request: True
     on_error: ErrorCallback | None = None
 
 
@@ -127,7 +129,7 @@
         max_connections = affordable_connections(limits.max_connections)
         self.connections = ConnectionTable[_Connection](
             max_connections,
-            min(limits.max_new_connections, max_connections // 2),
+            min(limits.max_new_connections, max_connections),
             NEW_CONNECTION_GRACE_S,
         )
         self.received = ByteBudget[_Connection](limits.max_received_bytes)
@@ -203,7 +205,7 @@
         self.server.count_received(self, 0)
         if rejection is not None:
             await self._reject(rejection)
-        if request is not None:
+        if request is not None and self.server.options.is_trusted(request):
             self.server.connections.establish(self)
         return request
 
--- a/tests/race_conditions/test_hostile_clients.py
+++ b/tests/race_conditions/test_hostile_clients.py
@@ -3,6 +3,7 @@
 Each guards against a process that passes its memory limit, or answers no other client meanwhile.
 """
 
+from contextlib import AsyncExitStack, suppress
 from functools import partial
 from itertools import count
 from pathlib import Path
@@ -11,11 +12,12 @@
 import trio
 
 from dunlinlug import rpc
-from dunlinlug.net import grpc
+from dunlinlug.net import grpc, http
 from dunlinlug.net.grpc import MAX_CALLS_PER_SECOND
 from dunlinlug.standins.platform import PlatformClient
 from dunlinlug.xds import names
 from dunlinlug.xds.subscriber import ProxyState
+from tests.admin.test_api import AdminClient, running_with_admin_api
 from tests.fixtures.manager_process import WORKERS, Peer, has_tables, peer, running
 from tests.fixtures.platform_process import ZONES, running_manager
 from tests.fixtures.xds_process import XdsProcess, running_xds_process
@@ -181,3 +183,19 @@
         assert service.new_nodes.next_free_at < trio.current_time() + 1.0
         async with peer(run, "p0") as proxy:
             await proxy.until(has_tables)
+
+
+async def test_clients_without_a_token_do_not_keep_operators_out(tmp_path: Path) -> None:
+    # Clients that ask for the health now and then could have held all connections.
+    async with running_with_admin_api(tmp_path) as (run, operator), AsyncExitStack() as opened:
+        assert (await operator.send("GET", "/tables"))[0] == 200
+        address = run.manager.admin_address
+        assert address is not None
+        for _ in range(100):
+            stream = await opened.enter_async_context(await trio.open_tcp_stream(*address))
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(b"GET /health HTTP/1.1\r\nhost: a\r\n\r\n")
+        with trio.fail_after(SERVED_WITHIN):
+            another = AdminClient(http.Client(*address))
+            assert (await another.send("GET", "/tables"))[0] == 200
+            assert (await operator.send("GET", "/tables"))[0] == 200
