--- a/tests/race_conditions/hostile_clients.py
+++ b/tests/race_conditions/hostile_clients.py
@@ -260,6 +260,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(victim.sample)
             yield victim
+            # Without attackers, a test of their effects would pass.
+            assert attackers.poll() is None, "the attackers have ended"
             nursery.cancel_scope.cancel()
     finally:
         attackers.kill()
